--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/HttpClient.java
@@ -0,0 +1,121 @@
+package org.cuminspur.http.client;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.http.internal.client.ClientExchangeStream;
+import org.cuminspur.http.internal.client.ConnectionPool;
+import org.cuminspur.time.Clock;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls other processes over HTTP/1.1.
+ *
+ * <p>Thread-safe. Calls block the calling thread; input and output run on the client's own threads. A connection on
+ * which a call failed or timed out is closed and never used again, so an answer always belongs to its request.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 * 1_024;
+
+    private final XnioWorker worker;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final ConnectionPool pool = new ConnectionPool();
+    private final Clock clock;
+    private final long connectTimeoutMillis;
+
+    /**
+     * Starts the client.
+     *
+     * @param ioThreads threads for input and output
+     * @param connectTimeoutMillis the longest wait for a connection
+     */
+    public HttpClient(Clock clock, int ioThreads, long connectTimeoutMillis) {
+        this.clock = clock;
+        this.connectTimeoutMillis = connectTimeoutMillis;
+        try {
+            worker = Xnio.getInstance()
+                    .createWorker(OptionMap.builder()
+                            .set(Options.WORKER_IO_THREADS, ioThreads)
+                            .set(Options.WORKER_NAME, "http-client")
+                            .set(Options.THREAD_DAEMON, true)
+                            .set(Options.TCP_NODELAY, true)
+                            .getMap());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends a request and waits until its answer begins. */
+    public Either<CallFault, HttpStream> open(HttpCall call, long timeoutMillis) {
+        long deadline = clock.millis() + timeoutMillis;
+        ConnectionPool.Address address = new ConnectionPool.Address(call.host(), call.port());
+        ClientConnection pooled = call.freshConnection() ? null : pool.take(address);
+        if (pooled != null) {
+            return exchange(pooled, call, address, deadline);
+        }
+        return connect(call, Math.min(connectTimeoutMillis, timeoutMillis))
+                .flatMap(connection -> exchange(connection, call, address, deadline));
+    }
+
+    /** Sends a request and waits for its whole answer. */
+    public Either<CallFault, HttpAnswer> call(HttpCall call, long timeoutMillis) {
+        long deadline = clock.millis() + timeoutMillis;
+        return open(call, timeoutMillis).flatMap(stream -> whole(stream, deadline));
+    }
+
+    @Override
+    public void close() {
+        pool.close();
+        worker.shutdownNow();
+    }
+
+    private Either<CallFault, HttpAnswer> whole(HttpStream stream, long deadline) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        try (stream) {
+            while (true) {
+                Either<CallFault, byte[]> piece = stream.next(Math.max(1, deadline - clock.millis()));
+                if (piece.isLeft()) {
+                    return Either.left(piece.getLeft());
+                }
+                if (piece.get().length == 0) {
+                    return Either.right(new HttpAnswer(stream.status(), body.toByteArray()));
+                }
+                body.writeBytes(piece.get());
+            }
+        }
+    }
+
+    private Either<CallFault, HttpStream> exchange(
+            ClientConnection connection, HttpCall call, ConnectionPool.Address address, long deadline) {
+        ClientExchangeStream stream = new ClientExchangeStream(connection, () -> pool.give(address, connection));
+        return stream.start(call, Math.max(1, deadline - clock.millis()));
+    }
+
+    private Either<CallFault, ClientConnection> connect(HttpCall call, long timeoutMillis) {
+        URI uri = URI.create("http://" + call.host() + ":" + call.port());
+        OptionMap options = OptionMap.create(UndertowOptions.ENABLE_HTTP2, false);
+        IoFuture<ClientConnection> connecting = UndertowClient.getInstance().connect(uri, worker, buffers, options);
+        if (connecting.await(timeoutMillis, TimeUnit.MILLISECONDS) == IoFuture.Status.WAITING) {
+            connecting.cancel();
+            return Either.left(CallFault.NOT_SENT);
+        }
+        try {
+            return Either.right(connecting.get());
+        } catch (IOException | CancellationException e) {
+            return Either.left(CallFault.NOT_SENT);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/HttpStream.java
@@ -0,0 +1,38 @@
+package org.cuminspur.http.client;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * An answer whose body is read piece by piece.
+ *
+ * <p>Used by one thread, but {@link #close} may be called by any. A connection goes back to the pool only after the
+ * whole body was read; otherwise closing the stream closes the connection.
+ */
+public interface HttpStream extends AutoCloseable {
+    /** Returns the HTTP status. */
+    int status();
+
+    /** Returns the headers in the order they came. */
+    List<HttpHeader> headers();
+
+    /** Returns the first value of a header, compared without case. */
+    default Optional<String> header(String name) {
+        return headers().stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HttpHeader::value)
+                .findFirst();
+    }
+
+    /**
+     * Waits for the next piece of the body.
+     *
+     * @param timeoutMillis the longest wait
+     * @return the piece, empty at the end of the body, or why there is none
+     */
+    Either<CallFault, byte[]> next(long timeoutMillis);
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/LoadHeader.java
@@ -0,0 +1,46 @@
+package org.cuminspur.http.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import org.cuminspur.http.internal.platform.EtcdJson;
+import org.cuminspur.routing.LoadReport;
+
+/**
+ * Reads the load that an upstream reports in the ORCA header, in its JSON form.
+ *
+ * <p>Stateless and thread-safe. Of the named metrics it takes {@code in_progress}, {@code slots} and
+ * {@code incarnation}.
+ */
+public final class LoadHeader {
+    /** Name of the header. */
+    public static final String NAME = "endpoint-load-metrics";
+
+    private static final String JSON_FORM = "JSON ";
+
+    private LoadHeader() {}
+
+    /** Returns the report, or none if the header is absent or malformed. */
+    public static Option<LoadReport> read(HttpStream answer) {
+        return Option.ofOptional(answer.header(NAME)).flatMap(LoadHeader::parse);
+    }
+
+    /** Returns the report in a header's value, or none if it is malformed. */
+    public static Option<LoadReport> parse(String value) {
+        if (!value.startsWith(JSON_FORM)) {
+            return Option.none();
+        }
+        byte[] json = value.substring(JSON_FORM.length()).getBytes(StandardCharsets.UTF_8);
+        return EtcdJson.parse(json)
+                .map(node -> node.path("named_metrics"))
+                .filter(metrics -> metrics.path("in_progress").isNumber())
+                .map(LoadHeader::report);
+    }
+
+    private static LoadReport report(JsonNode metrics) {
+        return new LoadReport(
+                metrics.path("in_progress").asDouble(),
+                metrics.path("slots").asDouble(),
+                metrics.path("incarnation").asLong());
+    }
+}
--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -0,0 +1,155 @@
+package org.cuminspur.http.internal.client;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.stream.StreamSupport;
+import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpHeader;
+import org.cuminspur.http.client.HttpStream;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * One exchange on one connection.
+ *
+ * <p>The connection is touched on its own input-output thread only; the caller's thread waits for what that thread
+ * hands over.
+ */
+public final class ClientExchangeStream implements HttpStream {
+    private final ClientConnection connection;
+    private final BodyQueue body;
+    private final CompletableFuture<ClientResponse> response = new CompletableFuture<>();
+
+    public ClientExchangeStream(ClientConnection connection, Runnable giveBack) {
+        this.connection = connection;
+        this.body = new BodyQueue(connection, giveBack);
+    }
+
+    /** Sends the request and waits until its answer begins. */
+    public Either<CallFault, HttpStream> start(HttpCall call, long timeoutMillis) {
+        connection.getIoThread().execute(() -> send(call));
+        try {
+            response.get(timeoutMillis, TimeUnit.MILLISECONDS);
+            return Either.right(this);
+        } catch (TimeoutException e) {
+            close();
+            return Either.left(CallFault.TIMED_OUT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            close();
+            return Either.left(CallFault.BROKEN);
+        } catch (ExecutionException e) {
+            close();
+            return Either.left(CallFault.BROKEN);
+        }
+    }
+
+    @Override
+    public int status() {
+        return response.join().getResponseCode();
+    }
+
+    @Override
+    public List<HttpHeader> headers() {
+        return StreamSupport.stream(response.join().getResponseHeaders().spliterator(), false)
+                .flatMap(values -> values.stream()
+                        .map(value -> new HttpHeader(values.getHeaderName().toString(), value)))
+                .toList();
+    }
+
+    @Override
+    public Either<CallFault, byte[]> next(long timeoutMillis) {
+        Either<CallFault, byte[]> piece = body.next(timeoutMillis);
+        if (piece.isLeft()) {
+            close();
+        }
+        return piece;
+    }
+
+    @Override
+    public void close() {
+        if (!body.complete()) {
+            connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+        }
+    }
+
+    private void send(HttpCall call) {
+        ClientRequest request = new ClientRequest()
+                .setMethod(HttpString.tryFromString(call.method()))
+                .setPath(call.path());
+        request.getRequestHeaders().put(Headers.HOST, call.host() + ":" + call.port());
+        call.headers()
+                .forEach(header ->
+                        request.getRequestHeaders().add(HttpString.tryFromString(header.name()), header.value()));
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        connection.getCloseSetter().set(closed -> fail(new IOException("the connection was closed")));
+        connection.sendRequest(request, callback(exchange -> sendBody(exchange, call.body())));
+    }
+
+    private void sendBody(ClientExchange exchange, byte[] bytes) {
+        exchange.setResponseListener(callback(this::answered));
+        StreamSinkChannel channel = exchange.getRequestChannel();
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        channel.getWriteSetter().set(writable -> write(writable, buffer));
+        write(channel, buffer);
+    }
+
+    private void write(StreamSinkChannel channel, ByteBuffer buffer) {
+        try {
+            while (buffer.hasRemaining()) {
+                if (channel.write(buffer) == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            channel.shutdownWrites();
+            if (!channel.flush()) {
+                channel.resumeWrites();
+                return;
+            }
+            channel.suspendWrites();
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    private void answered(ClientExchange exchange) {
+        body.start(exchange.getResponseChannel());
+        response.complete(exchange.getResponse());
+    }
+
+    private void fail(IOException cause) {
+        response.completeExceptionally(cause);
+        body.fail();
+        IoUtils.safeClose(connection);
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                completed.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                fail(e);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ConnectionPool.java
@@ -0,0 +1,44 @@
+package org.cuminspur.http.internal.client;
+
+import io.undertow.client.ClientConnection;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import org.xnio.IoUtils;
+
+/** Keeps idle connections for later calls; thread-safe. */
+public final class ConnectionPool {
+    private static final int MAX_IDLE_PER_ADDRESS = 64;
+
+    /** Where connections lead; immutable. */
+    public record Address(String host, int port) {}
+
+    private final Map<Address, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+
+    /** Returns an idle connection that is open, or null if there is none. */
+    public ClientConnection take(Address address) {
+        Deque<ClientConnection> connections = idle.get(address);
+        ClientConnection connection = connections == null ? null : connections.pollFirst();
+        while (connection != null && !connection.isOpen()) {
+            connection = connections.pollFirst();
+        }
+        return connection;
+    }
+
+    /** Takes a connection whose last answer was read whole. */
+    public void give(Address address, ClientConnection connection) {
+        Deque<ClientConnection> connections = idle.computeIfAbsent(address, key -> new ConcurrentLinkedDeque<>());
+        if (connection.isOpen() && connections.size() < MAX_IDLE_PER_ADDRESS) {
+            connections.addFirst(connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Closes all idle connections. */
+    public void close() {
+        idle.values().forEach(connections -> connections.forEach(IoUtils::safeClose));
+        idle.clear();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/platform/EtcdWatch.java
@@ -0,0 +1,78 @@
+package org.cuminspur.http.internal.platform;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpClient;
+import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.store.StoreView;
+
+/**
+ * Reads the messages of one watch, which come one a line.
+ *
+ * <p>{@link #run} blocks its thread until the watch ends; {@link #close} may be called from any thread.
+ */
+public final class EtcdWatch {
+    private static final long WAIT_MS = Long.MAX_VALUE;
+
+    private final HttpClient http;
+    private final Consumer<StoreView> changes;
+    private final Runnable ended;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private volatile boolean closed;
+    private volatile HttpStream open;
+
+    public EtcdWatch(HttpClient http, Consumer<StoreView> changes, Runnable ended) {
+        this.http = http;
+        this.changes = changes;
+        this.ended = ended;
+    }
+
+    /** Reads until the watch breaks or is closed. */
+    public void run(HttpCall call, long timeoutMillis) {
+        try {
+            http.open(call, timeoutMillis).forEach(this::read);
+        } finally {
+            ended.run();
+        }
+    }
+
+    /** Ends the watch. */
+    public void close() {
+        closed = true;
+        HttpStream stream = open;
+        if (stream != null) {
+            stream.close();
+        }
+    }
+
+    private void read(HttpStream stream) {
+        open = stream;
+        try (stream) {
+            while (!closed && stream.status() == 200) {
+                Either<CallFault, byte[]> piece = stream.next(WAIT_MS);
+                if (piece.isRight() && piece.get().length > 0) {
+                    take(piece.get());
+                } else {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void take(byte[] piece) {
+        for (byte b : piece) {
+            if (b == '\n') {
+                EtcdJson.parse(line.toByteArray())
+                        .map(EtcdJson::watched)
+                        .filter(view -> !view.entries().isEmpty())
+                        .forEach(changes);
+                line.reset();
+            } else {
+                line.write(b);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholePathTest.java
@@ -0,0 +1,139 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.http.client.HttpAnswer;
+import org.cuminspur.http.client.HttpHeader;
+import org.cuminspur.pgm.ExitCode;
+import org.cuminspur.pgm.Main;
+import org.cuminspur.routing.RouteTable;
+import org.cuminspur.standin.fleet.LocalFleet;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Serves requests end to end through separate processes; its tests run in the order of their names. */
+public class WholePathTest {
+    private static final String KEY = "buyer-desk-key";
+    private static final String CHAT = "{\"model\":\"appraisal\",\"stream\":true,\"messages\":["
+            + "{\"role\":\"system\",\"content\":\"appraise wool lots\"},"
+            + "{\"role\":\"user\",\"content\":\"what is lot 12 worth\"}]}";
+
+    private LocalFleet fleet;
+    private ListedInstance first;
+    private ListedInstance second;
+    private Path services;
+
+    @BeforeClass
+    public void start() {
+        fleet = new LocalFleet();
+        fleet.upstream("engine", "engine-1", "appraisal", "noord-a");
+        fleet.upstream("engine", "engine-2", "appraisal", "noord-b");
+        fleet.upstream("service", "stock-1", "stock", "noord-a");
+        first = fleet.router("router-1", "noord-a");
+        second = fleet.router("router-2", "noord-b");
+        services = fleet.serviceFile(
+                "appraisal",
+                String.join(
+                        "\n",
+                        "[service appraisal]",
+                        "kind = engine",
+                        "[service stock]",
+                        "kind = plain",
+                        "[route drafts]",
+                        "service = appraisal",
+                        "path = /v1/chat/completions",
+                        "[route stock]",
+                        "service = stock",
+                        "path = /stock",
+                        "[domain noord-a]",
+                        "region = nl-noord",
+                        "[domain noord-b]",
+                        "region = nl-noord",
+                        "[account buyer-desk]",
+                        "key-sha256 = " + RouteTable.sha256(KEY)));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+    }
+
+    @Test
+    public void publishedFilesAreInForceOnAllRouters() {
+        assertEquals(run("publish", services.toString()), "revision 1 is in force on 2 of 2 instances\n");
+    }
+
+    @Test(dependsOnMethods = "publishedFilesAreInForceOnAllRouters")
+    public void streamedChatComesBackWholeFromBothRouters() {
+        HttpAnswer one = chat(first);
+        HttpAnswer other = chat(second);
+        assertEquals(one.status(), 200);
+        assertTrue(one.text().endsWith("data: [DONE]\n\n"), one.text());
+        assertTrue(one.text().contains("\"cached_tokens\":0"), one.text());
+        assertTrue(other.text().matches("(?s).*\"cached_tokens\":[1-9].*"), other.text());
+    }
+
+    @Test(dependsOnMethods = "publishedFilesAreInForceOnAllRouters")
+    public void plainServiceIsReachedByItsPath() {
+        HttpAnswer answer = request(first, "GET", "/stock/lot-12", "", KEY);
+        assertEquals(answer.status(), 200);
+        assertTrue(answer.text().contains("\"path\":\"/stock/lot-12\""), answer.text());
+    }
+
+    @Test(dependsOnMethods = "publishedFilesAreInForceOnAllRouters")
+    public void unknownKeyAndUnknownPathAreRefused() {
+        assertEquals(request(first, "GET", "/stock/lot-12", "", "guess").status(), 401);
+        assertEquals(request(first, "GET", "/nowhere", "", KEY).status(), 404);
+    }
+
+    @Test(dependsOnMethods = {"streamedChatComesBackWholeFromBothRouters", "plainServiceIsReachedByItsPath"})
+    public void takenOutDomainIsOutOnAllRoutersUntilBroughtBack() {
+        assertEquals(run("take-out", "domain/noord-b"), "domain/noord-b is out of service on 2 of 2 instances\n");
+        assertEquals(
+                fleet.call("GET", second.port(ListedInstance.OPERATOR_PORT), "/ready", "")
+                        .status(),
+                503);
+        assertEquals(run("bring-back", "domain/noord-b"), "domain/noord-b is in service on 2 of 2 instances\n");
+    }
+
+    @Test(dependsOnMethods = "takenOutDomainIsOutOnAllRoutersUntilBroughtBack")
+    public void terminatedRouterEnds() {
+        fleet.process("router-2").terminate();
+        assertEquals(fleet.process("router-2").awaitEnd(), 143);
+    }
+
+    private HttpAnswer chat(ListedInstance router) {
+        return request(router, "POST", "/v1/chat/completions", CHAT, KEY);
+    }
+
+    private HttpAnswer request(ListedInstance router, String method, String path, String body, String key) {
+        return fleet.call(
+                method,
+                router.port(ListedInstance.HTTP_PORT),
+                path,
+                body,
+                new HttpHeader("Authorization", "Bearer " + key),
+                new HttpHeader("Content-Type", "application/json"));
+    }
+
+    private String run(String command, String argument) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
+        ExitCode code = Main.run(
+                stream,
+                System.err,
+                command,
+                "--settings",
+                fleet.operatorSettings().toString(),
+                argument);
+        assertEquals(code, ExitCode.DONE, out.toString(StandardCharsets.UTF_8));
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/Main.java
@@ -0,0 +1,70 @@
+package org.cuminspur.router;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminspur.config.ConfigFault;
+
+/** Starts a router process; exits with 1 on bad settings and 2 on wrong usage. */
+public final class Main {
+    private static final int FAILED = 1;
+    private static final int WRONG_USAGE = 2;
+
+    /** The command line's options. */
+    private static final class Options {
+        @Parameter(names = "--settings", description = "INI file with this router's settings", required = true)
+        private String settings;
+
+        @Parameter(names = "--check", description = "Check the settings and exit")
+        private boolean check;
+
+        @Parameter(names = "--help", description = "Show this help", help = true)
+        private boolean help;
+    }
+
+    private Main() {}
+
+    /** Runs the process until it is told to stop. */
+    public static void main(String[] args) throws IOException {
+        Options options = new Options();
+        JCommander commander = JCommander.newBuilder()
+                .programName("cuminspurd")
+                .addObject(options)
+                .build();
+        try {
+            commander.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            commander.usage();
+            System.exit(WRONG_USAGE);
+        }
+        if (options.help) {
+            commander.usage();
+            return;
+        }
+        start(Path.of(options.settings), options.check);
+    }
+
+    private static void start(Path file, boolean checkOnly) throws IOException {
+        if (!Files.isReadable(file)) {
+            System.err.println("cannot read " + file);
+            System.exit(FAILED);
+        }
+        Either<List<ConfigFault>, RouterSettings> settings =
+                RouterSettingsParser.parse(file.toString(), Files.readString(file));
+        if (settings.isLeft()) {
+            settings.getLeft().forEach(System.err::println);
+            System.exit(FAILED);
+        }
+        if (!checkOnly) {
+            RouterDaemon daemon = RouterDaemon.start(settings.get());
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+            System.out.println(daemon.readyLine());
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
@@ -0,0 +1,63 @@
+package org.cuminspur.router;
+
+import org.cuminspur.control.Self;
+import org.cuminspur.http.platform.PlatformAddress;
+
+/**
+ * A router's settings, parsed once at start; immutable.
+ *
+ * @param host IP address to listen on
+ */
+public record RouterSettings(
+        Self self, String host, Callers callers, Operators operators, Peers peers, Platform platform) {
+    /**
+     * How callers are served; immutable.
+     *
+     * @param port TCP port, 0 for any free one
+     * @param threads requests that can be in progress at the same time
+     * @param maxBodyBytes the largest request body
+     * @param maxHeaderBytes the largest request head
+     * @param bodyTimeoutMillis the longest pause of a caller that sends its request
+     * @param stopTimeoutMillis the longest wait for requests in progress at a planned stop
+     */
+    public record Callers(
+            int port,
+            int threads,
+            long maxBodyBytes,
+            int maxHeaderBytes,
+            long bodyTimeoutMillis,
+            long stopTimeoutMillis) {}
+
+    /**
+     * How operators are served; immutable.
+     *
+     * @param port TCP port, 0 for any free one
+     * @param key key that operators give
+     */
+    public record Operators(int port, String key) {
+        @Override
+        public String toString() {
+            return "Operators[port=" + port + "]";
+        }
+    }
+
+    /**
+     * How other routers are met; immutable.
+     *
+     * @param port TCP port, 0 for any free one
+     * @param key key shared by all routers
+     */
+    public record Peers(int port, String key) {
+        @Override
+        public String toString() {
+            return "Peers[port=" + port + "]";
+        }
+    }
+
+    /**
+     * Where the platform's services are; immutable.
+     *
+     * @param timeoutMillis the longest wait for a reply
+     */
+    public record Platform(PlatformAddress store, PlatformAddress instances, long timeoutMillis) {}
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerRequest.java
@@ -0,0 +1,82 @@
+package org.cuminspur.router.internal.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
+import org.cuminspur.http.client.HttpHeader;
+
+/**
+ * A request as a caller sent it; immutable, though the body is shared and must not be changed.
+ *
+ * @param path path without query
+ * @param pathAndQuery path with query, as sent
+ * @param json the body as JSON, a missing node if it is not JSON
+ */
+record CallerRequest(
+        String method, String path, String pathAndQuery, List<HttpHeader> headers, byte[] body, JsonNode json) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String BEARER = "Bearer ";
+
+    static CallerRequest of(HttpServerExchange exchange, byte[] body) {
+        List<HttpHeader> headers = StreamSupport.stream(
+                        exchange.getRequestHeaders().spliterator(), false)
+                .flatMap(CallerRequest::lines)
+                .toList();
+        String query = exchange.getQueryString();
+        String path = exchange.getRequestPath();
+        return new CallerRequest(
+                exchange.getRequestMethod().toString(),
+                path,
+                query.isEmpty() ? path : path + "?" + query,
+                headers,
+                body,
+                json(headers, body));
+    }
+
+    /** Returns the first value of a header, compared without case. */
+    Optional<String> header(String name) {
+        return first(headers, name);
+    }
+
+    /** Returns the account key, empty if none was given. */
+    String accountKey() {
+        return header("Authorization")
+                .filter(value -> value.startsWith(BEARER))
+                .map(value -> value.substring(BEARER.length()))
+                .orElse("");
+    }
+
+    /** Returns the model that the body asks for, empty if it names none. */
+    String model() {
+        return json.path("model").asText("");
+    }
+
+    private static Stream<HttpHeader> lines(HeaderValues values) {
+        return values.stream()
+                .map(value -> new HttpHeader(values.getHeaderName().toString(), value));
+    }
+
+    private static Optional<String> first(List<HttpHeader> headers, String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HttpHeader::value)
+                .findFirst();
+    }
+
+    private static JsonNode json(List<HttpHeader> headers, byte[] body) {
+        boolean isJson = first(headers, "Content-Type")
+                .filter(type -> type.startsWith("application/json"))
+                .isPresent();
+        try {
+            return isJson ? JSON.readTree(body) : JSON.missingNode();
+        } catch (IOException e) {
+            return JSON.missingNode();
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/Fingerprint.java
@@ -0,0 +1,24 @@
+package org.cuminspur.router.internal.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** Tells whether two requests are the same but for their headers; stateless and thread-safe. */
+final class Fingerprint {
+    private static final int KEPT_CHARS = 32;
+
+    private Fingerprint() {}
+
+    /** Returns a hash over method, path, query and body. */
+    static String of(CallerRequest request) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            digest.update((request.method() + " " + request.pathAndQuery() + "\n").getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(digest.digest(request.body())).substring(0, KEPT_CHARS);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -0,0 +1,109 @@
+package org.cuminspur.router.internal.caller;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.cuminspur.admission.Admission;
+import org.cuminspur.config.AccountSpec;
+import org.cuminspur.config.Priority;
+import org.cuminspur.config.RouteSpec;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.id.IdempotencyKey;
+import org.cuminspur.once.ActionId;
+import org.cuminspur.once.ActionLedger;
+import org.cuminspur.routing.RoutingSnapshot;
+import org.cuminspur.time.Clock;
+
+/**
+ * Takes a request through its steps: account, route, admission, ledger, upstream.
+ *
+ * <p>Thread-safe. Each call runs on a worker thread and returns when the answer is written.
+ */
+public final class RequestPipeline {
+    private final Supplier<RoutingSnapshot> snapshots;
+    private final Admission admission;
+    private final ActionLedger ledger;
+    private final UpstreamCaller upstreams;
+    private final Clock clock;
+
+    public RequestPipeline(
+            Supplier<RoutingSnapshot> snapshots,
+            Admission admission,
+            ActionLedger ledger,
+            UpstreamCaller upstreams,
+            Clock clock) {
+        this.snapshots = snapshots;
+        this.admission = admission;
+        this.ledger = ledger;
+        this.upstreams = upstreams;
+        this.clock = clock;
+    }
+
+    void serve(CallerRequest request, CallerAnswer answer) {
+        RoutingSnapshot snapshot = snapshots.get();
+        Either<Refusal, RoutedRequest> routed = route(snapshot, request);
+        routed.peekLeft(answer::refuse);
+        routed.peek(known -> admitted(snapshot, known, answer));
+    }
+
+    private Either<Refusal, RoutedRequest> route(RoutingSnapshot snapshot, CallerRequest request) {
+        if (!snapshot.configured()) {
+            return Either.left(Refusal.of(ErrorKind.NOT_READY));
+        }
+        return snapshot.routes()
+                .account(request.accountKey())
+                .flatMap(account -> snapshot.routes()
+                        .route(account, request.method(), request.path(), request.model())
+                        .map(route -> routed(request, account, route)));
+    }
+
+    private RoutedRequest routed(CallerRequest request, AccountSpec account, RouteSpec route) {
+        Priority priority = route.priority().compareTo(account.priority()) < 0 ? account.priority() : route.priority();
+        long deadline = clock.millis() + route.deadlineMillis();
+        return new RoutedRequest(request, account, route, ChatHash.of(account, request), priority, deadline);
+    }
+
+    private void admitted(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        CompletableFuture<Either<Refusal, Admission.Permit>> reply = new CompletableFuture<>();
+        admission.admit(
+                new Admission.Demand(routed.account(), routed.priority(), routed.deadlineMillis()), reply::complete);
+        Either<Refusal, Admission.Permit> permit = reply.join();
+        permit.peekLeft(answer::refuse);
+        permit.peek(held -> {
+            try {
+                run(snapshot, routed, answer);
+            } finally {
+                held.release();
+            }
+        });
+    }
+
+    private void run(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        if (routed.route().idempotent()) {
+            upstreams.call(snapshot, routed, answer);
+        } else {
+            runOnce(snapshot, routed, answer);
+        }
+    }
+
+    private void runOnce(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        Optional<String> key = routed.request().header(routed.route().idempotencyHeader());
+        if (key.filter(text -> !text.isBlank()).isEmpty()) {
+            answer.refuse(Refusal.of(ErrorKind.KEY_MISSING, routed.route().idempotencyHeader()));
+            return;
+        }
+        ActionId action = new ActionId(routed.account().id(), routed.route().id(), new IdempotencyKey(key.get()));
+        CompletableFuture<ActionLedger.Decision> reply = new CompletableFuture<>();
+        ledger.begin(action, Fingerprint.of(routed.request()), routed.deadlineMillis(), reply::complete);
+        ActionLedger.Decision decision = reply.join();
+        if (decision instanceof ActionLedger.Decision.Run run) {
+            ledger.finish(run.claim(), upstreams.callOnce(snapshot, routed, answer));
+        } else if (decision instanceof ActionLedger.Decision.Repeat repeat) {
+            answer.repeat(repeat.answer());
+        } else if (decision instanceof ActionLedger.Decision.Refuse refuse) {
+            answer.refuse(refuse.refusal());
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -0,0 +1,113 @@
+package org.cuminspur.router.internal.control;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import io.vavr.control.Try;
+import java.security.SecureRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.cuminspur.control.ControlCore;
+import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.Self;
+import org.cuminspur.control.Tables;
+import org.cuminspur.http.platform.InstanceList;
+import org.cuminspur.peer.PeerLinks;
+import org.cuminspur.routing.RoutingSnapshot;
+import org.cuminspur.store.Store;
+import org.cuminspur.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the control core on one thread and joins it to the clock, the platform and the peers.
+ *
+ * <p>Thread-safe. An input that the core fails on is logged and dropped; the thread goes on.
+ */
+public final class ControlLoop implements AutoCloseable {
+    private static final Logger log = LoggerFactory.getLogger(ControlLoop.class);
+    private static final long TICK_MS = 100;
+    private static final long LIST_INTERVAL_MS = 500;
+
+    private final Clock clock;
+    private final InstanceList instances;
+    private final ControlCore core;
+    private final OutputRunner outputs;
+    private final Timer ticks;
+    private final ScheduledExecutorService thread = executor("control");
+    private final ScheduledExecutorService lister = executor("instance-list");
+
+    public ControlLoop(Self self, Clock clock, Store store, InstanceList instances, MetricRegistry metrics) {
+        this.clock = clock;
+        this.instances = instances;
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong());
+        core = new ControlCore(self, random);
+        outputs = new OutputRunner(store, core, this::post);
+        ticks = metrics.timer("control.tick");
+    }
+
+    /** Starts ticking. */
+    public void start(PeerLinks peers) {
+        outputs.peers(peers);
+        thread.scheduleAtFixedRate(() -> guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
+        lister.scheduleWithFixedDelay(() -> guarded(this::list), 0, LIST_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Hands an input to the core; does nothing after {@link #close}. */
+    public void post(ControlInput input) {
+        try {
+            thread.execute(() -> guarded(() -> core.accept(input, clock.millis(), outputs)));
+        } catch (RejectedExecutionException e) {
+            log.debug("input after close: {}", input);
+        }
+    }
+
+    /** Returns the newest snapshot. */
+    public RoutingSnapshot snapshot() {
+        return core.snapshot();
+    }
+
+    /** Reads the tables on the control thread and waits for the result. */
+    public <T> Try<T> read(Function<Tables, T> reader) {
+        Callable<T> task = () -> reader.apply(core.tables());
+        return Try.of(() -> thread.submit(task)).mapTry(Future::get);
+    }
+
+    @Override
+    public void close() {
+        lister.shutdownNow();
+        thread.shutdownNow();
+    }
+
+    private void tick() {
+        try (Timer.Context timed = ticks.time()) {
+            core.tick(clock.millis(), outputs);
+        }
+    }
+
+    private void list() {
+        instances.read().forEach(listed -> post(new ControlInput.InstancesListed(listed)));
+    }
+
+    private static void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            log.error("event=control-step-failed", e);
+        }
+    }
+
+    private static ScheduledExecutorService executor(String name) {
+        return Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/OutputRunner.java
@@ -0,0 +1,75 @@
+package org.cuminspur.router.internal.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.cuminspur.control.ControlCore;
+import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.ControlOutput;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.control.PeerRow;
+import org.cuminspur.peer.PeerLinks;
+import org.cuminspur.store.Store;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out what the control core asks for; runs on the control thread and never waits. */
+final class OutputRunner implements Consumer<ControlOutput> {
+    private static final Logger log = LoggerFactory.getLogger("org.cuminspur.state");
+
+    private final Store store;
+    private final ControlCore core;
+    private final Consumer<ControlInput> post;
+    private final Map<String, Store.Watch> watches = new HashMap<>();
+    private PeerLinks peers;
+
+    OutputRunner(Store store, ControlCore core, Consumer<ControlInput> post) {
+        this.store = store;
+        this.core = core;
+        this.post = post;
+    }
+
+    void peers(PeerLinks links) {
+        peers = links;
+    }
+
+    @Override
+    public void accept(ControlOutput output) {
+        if (output instanceof ControlOutput.SendPeer send) {
+            send(send);
+        } else if (output instanceof ControlOutput.ReadStore read) {
+            store.range(read.prefix(), reply -> post.accept(new ControlInput.StoreRead(read.prefix(), reply)));
+        } else if (output instanceof ControlOutput.CommitStore commit) {
+            store.commit(commit.txn(), reply -> post.accept(new ControlInput.StoreCommitted(commit.tag(), reply)));
+        } else if (output instanceof ControlOutput.StartWatch start) {
+            watches.put(start.prefix(), watch(start));
+        } else if (output instanceof ControlOutput.StopWatch stop) {
+            stop(stop);
+        } else if (output instanceof ControlOutput.StateChanged changed) {
+            log.info("event={} {}", changed.event(), changed.detail());
+        }
+    }
+
+    private void send(ControlOutput.SendPeer send) {
+        PeerRow peer = core.tables().peer(send.to());
+        if (peer != null) {
+            ListedInstance listed = peer.listed();
+            peers.send(send.to(), listed.host(), listed.port(ListedInstance.PEER_PORT), send.message());
+        }
+    }
+
+    private Store.Watch watch(ControlOutput.StartWatch start) {
+        return store.watch(
+                start.prefix(),
+                start.afterRevision(),
+                changes -> post.accept(new ControlInput.StoreChanged(start.prefix(), changes)),
+                () -> post.accept(new ControlInput.WatchEnded(start.prefix())));
+    }
+
+    private void stop(ControlOutput.StopWatch stop) {
+        Store.Watch watch = watches.remove(stop.prefix());
+        if (watch != null) {
+            watch.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/operator/OperatorServer.java
@@ -0,0 +1,115 @@
+package org.cuminspur.router.internal.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import io.vavr.control.Option;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Deque;
+import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.Target;
+import org.cuminspur.router.RouterSettings;
+import org.cuminspur.router.internal.control.ControlLoop;
+
+/**
+ * The server that operators, the balancer and monitoring speak to; thread-safe.
+ *
+ * <p>Liveness and readiness need no key; all else needs the operators' key.
+ */
+public final class OperatorServer {
+    private static final String BEARER = "Bearer ";
+
+    private final Undertow server;
+    private final ControlLoop control;
+    private final byte[] key;
+
+    public OperatorServer(RouterSettings settings, ControlLoop control, MetricRegistry metrics) {
+        this.control = control;
+        this.key = settings.operators().key().getBytes(StandardCharsets.UTF_8);
+        RoutingHandler routes = new RoutingHandler()
+                .get("/live", exchange -> send(exchange, 200, "text/plain", "live\n"))
+                .get("/ready", this::ready)
+                .get("/status", keyed(exchange -> json(exchange, StatusJson.of(control))))
+                .get(
+                        "/metrics",
+                        keyed(exchange -> send(exchange, 200, "text/plain; version=0.0.4", PrometheusText.of(metrics))))
+                .post("/orders", keyed(this::order));
+        server = Undertow.builder()
+                .addHttpListener(settings.operators().port(), settings.host())
+                .setIoThreads(1)
+                .setWorkerThreads(4)
+                .setHandler(new BlockingHandler(routes))
+                .build();
+    }
+
+    /** Starts to listen. */
+    public void start() {
+        server.start();
+    }
+
+    /** Returns the port that operators connect to. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /** Closes the server. */
+    public void stop() {
+        server.stop();
+    }
+
+    private void ready(HttpServerExchange exchange) {
+        boolean ready = control.snapshot().ready();
+        send(exchange, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    }
+
+    private void order(HttpServerExchange exchange) {
+        Option<Target> target = Target.parse(parameter(exchange, "target"));
+        String state = parameter(exchange, "state");
+        if (target.isEmpty() || !(state.equals("out") || state.equals("in"))) {
+            send(exchange, 400, "text/plain", "expected target=domain/NAME or upstream/NAME and state=out or in\n");
+            return;
+        }
+        String by = parameter(exchange, "by");
+        control.post(new ControlInput.OrderGiven(target.get(), state.equals("out"), by.isBlank() ? "operator" : by));
+        send(exchange, 202, "text/plain", "accepted\n");
+    }
+
+    private HttpHandler keyed(HttpHandler handler) {
+        return exchange -> {
+            if (hasKey(exchange)) {
+                handler.handleRequest(exchange);
+            } else {
+                send(exchange, 401, "text/plain", "the operators' key is needed\n");
+            }
+        };
+    }
+
+    private boolean hasKey(HttpServerExchange exchange) {
+        String given = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+        if (given == null || !given.startsWith(BEARER)) {
+            return false;
+        }
+        return MessageDigest.isEqual(key, given.substring(BEARER.length()).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String parameter(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null ? "" : values.getFirst();
+    }
+
+    private static void json(HttpServerExchange exchange, String body) {
+        send(exchange, 200, "application/json", body);
+    }
+
+    private static void send(HttpServerExchange exchange, int status, String type, String body) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, type);
+        exchange.getResponseSender().send(body);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -0,0 +1,70 @@
+package org.cuminspur.standin;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import org.cuminspur.standin.engine.EngineSettings;
+import org.cuminspur.standin.engine.StandinEngine;
+import org.cuminspur.standin.platform.StandinPlatform;
+import org.cuminspur.standin.service.StandinService;
+
+/** Starts one stand-in as a process of its own and prints the port it listens on. */
+public final class Main {
+    /** The command line's options. */
+    private static final class Options {
+        @Parameter(description = "platform | engine | service", required = true)
+        private String kind;
+
+        @Parameter(names = "--host", description = "IP address to listen on")
+        private String host = "127.0.0.1";
+
+        @Parameter(names = "--port", description = "TCP port, 0 for any free one")
+        private int port;
+
+        @Parameter(names = "--name", description = "Name that a service answers with")
+        private String name = "service";
+
+        @Parameter(names = "--cold-ms", description = "How long an engine is cold")
+        private long coldMillis;
+
+        @Parameter(names = "--answer-tokens", description = "Tokens of an engine's answer")
+        private int answerTokens = EngineSettings.QUICK.answerTokens();
+
+        @Parameter(names = "--answer-token-ms", description = "Time of one token of an engine's answer")
+        private long answerTokenMillis = EngineSettings.QUICK.answerTokenMillis();
+    }
+
+    private Main() {}
+
+    /** Runs until the process is ended. */
+    public static void main(String[] args) {
+        Options options = new Options();
+        JCommander.newBuilder()
+                .programName("standin")
+                .addObject(options)
+                .build()
+                .parse(args);
+        System.out.println("listening port=" + start(options));
+    }
+
+    private static int start(Options options) {
+        return switch (options.kind) {
+            case "platform" -> new StandinPlatform(options.host, options.port).port();
+            case "engine" -> new StandinEngine(options.host, options.port, engine(options)).port();
+            case "service" -> new StandinService(options.host, options.port, options.name).port();
+            default -> throw new IllegalArgumentException("no such stand-in: " + options.kind);
+        };
+    }
+
+    private static EngineSettings engine(Options options) {
+        EngineSettings quick = EngineSettings.QUICK;
+        return new EngineSettings(
+                quick.slots(),
+                quick.cacheTokens(),
+                quick.promptTokenMicros(),
+                options.answerTokenMillis,
+                options.answerTokens,
+                options.coldMillis,
+                quick.coldSlots(),
+                quick.reportLagMillis());
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/engine/PrefixCache.java
@@ -0,0 +1,49 @@
+package org.cuminspur.standin.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Remembers the prompt prefixes served last, up to a number of tokens; thread-safe. */
+final class PrefixCache {
+    private final int capacityTokens;
+    private final Map<String, Integer> tokensByPrefix = new LinkedHashMap<>(16, 0.75f, true);
+    private int heldTokens;
+
+    PrefixCache(int capacityTokens) {
+        this.capacityTokens = capacityTokens;
+    }
+
+    /** Returns how many tokens of the messages' longest cached prefix were held, then caches all prefixes. */
+    synchronized int serve(List<String> messages) {
+        int cached = 0;
+        int tokens = 0;
+        StringBuilder prefix = new StringBuilder();
+        for (String message : messages) {
+            prefix.append(message).append('\n');
+            int added = tokens(message);
+            tokens += added;
+            if (tokensByPrefix.get(prefix.toString()) != null) {
+                cached = tokens;
+            } else {
+                tokensByPrefix.put(prefix.toString(), added);
+                heldTokens += added;
+            }
+        }
+        evict();
+        return cached;
+    }
+
+    static int tokens(String message) {
+        return Math.max(1, message.length() / 4);
+    }
+
+    private void evict() {
+        Iterator<Integer> oldest = tokensByPrefix.values().iterator();
+        while (heldTokens > capacityTokens && oldest.hasNext()) {
+            heldTokens -= oldest.next();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/engine/StandinEngine.java
@@ -0,0 +1,188 @@
+package org.cuminspur.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import org.cuminspur.standin.Pace;
+import org.cuminspur.time.Clock;
+import org.xnio.IoUtils;
+
+/**
+ * Takes the place of a model engine: chat completions, streamed or whole.
+ *
+ * <p>Thread-safe. Its answer's tokens are derived from the last message, so that a caller can tell its own answer. A
+ * request with {@code Last-Event-ID} goes on after that token.
+ */
+public final class StandinEngine implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int THREADS = 256;
+    private static final HttpString LOAD = new HttpString("endpoint-load-metrics");
+
+    private final Clock clock = Clock.system();
+    private final long startMillis = clock.millis();
+    private final EngineSettings settings;
+    private final PrefixCache cache;
+    private final Semaphore slots;
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private final LaggedNumber reported;
+    private final LongAdder served = new LongAdder();
+    private final LongAdder cancelled = new LongAdder();
+    private final AtomicInteger mostWhileCold = new AtomicInteger();
+    private final AtomicInteger cutAfterTokens = new AtomicInteger(Integer.MAX_VALUE);
+    private volatile boolean fallen;
+    private final Undertow server;
+
+    public StandinEngine(String host, int port, EngineSettings settings) {
+        this.settings = settings;
+        this.cache = new PrefixCache(settings.cacheTokens());
+        this.slots = new Semaphore(settings.slots(), true);
+        this.reported = new LaggedNumber(clock, settings.reportLagMillis());
+        RoutingHandler routes = new RoutingHandler()
+                .post("/v1/chat/completions", this::complete)
+                .get("/load", exchange -> {
+                    loadHeader(exchange);
+                    exchange.getResponseSender().send("ok\n");
+                })
+                .post("/faults", this::setFaults)
+                .get("/counts", exchange -> exchange.getResponseSender().send(counts().toString()));
+        server = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(2)
+                .setWorkerThreads(THREADS)
+                .setHandler(new BlockingHandler(routes))
+                .build();
+        server.start();
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /** Returns when it started, in milliseconds since the epoch. */
+    public long incarnation() {
+        return startMillis;
+    }
+
+    /** Breaks the next stream off after a number of tokens. */
+    public void cutAfter(int tokens) {
+        cutAfterTokens.set(tokens);
+    }
+
+    /** Returns how many requests it served whole. */
+    public long served() {
+        return served.sum();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private void complete(HttpServerExchange exchange) throws IOException, InterruptedException {
+        int now = inProgress.incrementAndGet();
+        reported.set(now);
+        try {
+            if (isCold()) {
+                mostWhileCold.accumulateAndGet(now, Math::max);
+                fallen |= now > settings.coldSlots();
+            }
+            if (fallen) {
+                exchange.setStatusCode(503);
+                return;
+            }
+            slots.acquire();
+            try {
+                generate(exchange, JSON.readTree(exchange.getInputStream()));
+            } finally {
+                slots.release();
+            }
+        } finally {
+            reported.set(inProgress.decrementAndGet());
+        }
+    }
+
+    private void generate(HttpServerExchange exchange, JsonNode request) throws IOException {
+        List<String> messages = new ArrayList<>();
+        request.path("messages").forEach(message -> messages.add(message.toString()));
+        int promptTokens = messages.stream().mapToInt(PrefixCache::tokens).sum();
+        int cachedTokens = cache.serve(messages);
+        Pace.pause((promptTokens - cachedTokens) * settings.promptTokenMicros() / 1_000);
+        int count = Math.min(request.path("max_tokens").asInt(settings.answerTokens()), settings.answerTokens());
+        AnswerTokens tokens = new AnswerTokens(request, count, promptTokens, cachedTokens);
+        loadHeader(exchange);
+        if (request.path("stream").asBoolean()) {
+            stream(exchange, tokens);
+        } else {
+            Pace.pause(count * settings.answerTokenMillis());
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            exchange.getResponseSender().send(tokens.whole().toString());
+            served.increment();
+        }
+    }
+
+    private void stream(HttpServerExchange exchange, AnswerTokens tokens) throws IOException {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "text/event-stream");
+        String last = exchange.getRequestHeaders().getFirst("Last-Event-ID");
+        int cut = cutAfterTokens.getAndSet(Integer.MAX_VALUE);
+        try {
+            for (int i = tokens.after(last); i < tokens.count(); i++) {
+                if (i >= cut) {
+                    IoUtils.safeClose(exchange.getConnection());
+                    return;
+                }
+                Pace.pause(settings.answerTokenMillis());
+                exchange.getOutputStream().write(tokens.event(i));
+                exchange.getOutputStream().flush();
+            }
+            exchange.getOutputStream().write(tokens.end());
+            served.increment();
+        } catch (IOException e) {
+            cancelled.increment();
+            throw e;
+        }
+    }
+
+    private boolean isCold() {
+        return clock.millis() - startMillis < settings.coldMillis();
+    }
+
+    private void loadHeader(HttpServerExchange exchange) {
+        ObjectNode load = JSON.createObjectNode();
+        load.putObject("named_metrics")
+                .put("in_progress", reported.value())
+                .put("slots", settings.slots())
+                .put("incarnation", startMillis);
+        exchange.getResponseHeaders().put(LOAD, "JSON " + load);
+    }
+
+    private void setFaults(HttpServerExchange exchange) throws IOException {
+        JsonNode wanted = JSON.readTree(exchange.getInputStream());
+        if (wanted.has("cut_after")) {
+            cutAfter(wanted.path("cut_after").asInt());
+        }
+        exchange.getResponseSender().send("ok\n");
+    }
+
+    private ObjectNode counts() {
+        return JSON.createObjectNode()
+                .put("served", served.sum())
+                .put("cancelled", cancelled.sum())
+                .put("in_progress", inProgress.get())
+                .put("most_while_cold", mostWhileCold.get())
+                .put("fallen", fallen);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -0,0 +1,207 @@
+package org.cuminspur.standin.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.http.client.HttpAnswer;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpClient;
+import org.cuminspur.http.client.HttpHeader;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.standin.platform.InstanceTable;
+import org.cuminspur.time.Clock;
+
+/**
+ * A whole fleet of processes on this machine: platform, upstreams and routers.
+ *
+ * <p>Used by one thread. All ports come from the system; {@link #close} ends every process it started.
+ */
+public final class LocalFleet implements AutoCloseable {
+    /** The operators' key of every router. */
+    public static final String OPERATOR_KEY = "operators-key-of-the-demo";
+
+    private static final String HOST = "127.0.0.1";
+    private static final String PEER_KEY = "peers-key-of-the-demo";
+    private static final long CALL_TIMEOUT_MS = 10_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpClient http = new HttpClient(Clock.system(), 1, CALL_TIMEOUT_MS);
+    private final Map<String, ChildProcess> processes = new LinkedHashMap<>();
+    private final Map<String, ListedInstance> instances = new LinkedHashMap<>();
+    private final Path directory;
+    private final int platformPort;
+
+    public LocalFleet() {
+        try {
+            directory = Files.createTempDirectory("cuminspur-fleet");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        platformPort = start("platform", "org.cuminspur.standin.Main", "platform")
+                .ports()
+                .get("port");
+    }
+
+    /** Starts an upstream and lists it. */
+    public ListedInstance upstream(String kind, String name, String service, String domain, String... options) {
+        List<String> arguments = new ArrayList<>(List.of(kind, "--name", name));
+        arguments.addAll(List.of(options));
+        ChildProcess process = start(name, "org.cuminspur.standin.Main", arguments.toArray(String[]::new));
+        return list(
+                name,
+                service,
+                domain,
+                Map.of(ListedInstance.HTTP_PORT, process.ports().get("port")));
+    }
+
+    /** Starts a router and lists it. */
+    public ListedInstance router(String name, String domain) {
+        ChildProcess process = start(
+                name,
+                "org.cuminspur.router.Main",
+                "--settings",
+                write(name + ".ini", routerSettings(name, domain)).toString());
+        Map<String, Integer> ports = process.ports();
+        return list(
+                name,
+                ListedInstance.ROUTERS,
+                domain,
+                Map.of(
+                        ListedInstance.HTTP_PORT, ports.get("callers"),
+                        ListedInstance.PEER_PORT, ports.get("peer"),
+                        ListedInstance.OPERATOR_PORT, ports.get("operator")));
+    }
+
+    /** Lists an instance as the platform does, or as one that is leaving. */
+    public void relist(String name, boolean leaving) {
+        ListedInstance old = instances.get(name);
+        put(new ListedInstance(name, old.service(), old.host(), old.ports(), old.domain(), old.incarnation(), leaving));
+    }
+
+    /** Drops an instance from the platform's list. */
+    public void unlist(String name) {
+        instances.remove(name);
+        call("DELETE", platformPort, "/instances/" + name, "");
+    }
+
+    /** Returns a process by its name. */
+    public ChildProcess process(String name) {
+        return processes.get(name);
+    }
+
+    /** Returns the file with an operator's settings for this fleet. */
+    public Path operatorSettings() {
+        return write(
+                "operator.ini",
+                "[operator]\nstore-port = " + platformPort + "\ninstances-port = " + platformPort + "\nkey = "
+                        + OPERATOR_KEY + "\n");
+    }
+
+    /** Writes a service file and returns its folder. */
+    public Path serviceFile(String name, String text) {
+        return write("services/" + name + ".cuminspur.ini", text).getParent();
+    }
+
+    /** Sets a switch for faults of the platform or of an upstream. */
+    public void fault(String name, String json) {
+        int port = name.equals("platform") ? platformPort : instances.get(name).port(ListedInstance.HTTP_PORT);
+        call("POST", port, "/faults", json);
+    }
+
+    /** Returns the port of the platform. */
+    public int platformPort() {
+        return platformPort;
+    }
+
+    /** Calls a process on this machine and returns its whole answer. */
+    public HttpAnswer call(String method, int port, String path, String body, HttpHeader... headers) {
+        HttpCall call =
+                new HttpCall(method, HOST, port, path, List.of(headers), body.getBytes(StandardCharsets.UTF_8), false);
+        return http.call(call, CALL_TIMEOUT_MS)
+                .getOrElseThrow(fault -> new IllegalStateException(method + " " + path + ": " + fault));
+    }
+
+    /** Returns the client that the fleet calls its processes with. */
+    public HttpClient http() {
+        return http;
+    }
+
+    /** Returns what a router says of itself. */
+    public JsonNode status(ListedInstance router) {
+        HttpAnswer answer = call(
+                "GET",
+                router.port(ListedInstance.OPERATOR_PORT),
+                "/status",
+                "",
+                new HttpHeader("Authorization", "Bearer " + OPERATOR_KEY));
+        try {
+            return JSON.readTree(answer.body());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(ChildProcess::close);
+        http.close();
+    }
+
+    private ChildProcess start(String name, String mainClass, String... arguments) {
+        ChildProcess process = ChildProcess.start(name, mainClass, arguments);
+        processes.put(name, process);
+        return process;
+    }
+
+    private ListedInstance list(String name, String service, String domain, Map<String, Integer> ports) {
+        String incarnation = Long.toString(Clock.system().millis());
+        ListedInstance instance =
+                new ListedInstance(name, service, HOST, ports, new FailureDomainId(domain), incarnation, false);
+        put(instance);
+        return instance;
+    }
+
+    private void put(ListedInstance instance) {
+        instances.put(instance.name(), instance);
+        call(
+                "PUT",
+                platformPort,
+                "/instances/" + instance.name(),
+                InstanceTable.slice(instance).toString());
+    }
+
+    private String routerSettings(String name, String domain) {
+        return String.join(
+                "\n",
+                "[router]",
+                "name = " + name,
+                "domain = " + domain,
+                "[operators]",
+                "key = " + OPERATOR_KEY,
+                "[peers]",
+                "key = " + PEER_KEY,
+                "[platform]",
+                "store-port = " + platformPort,
+                "instances-port = " + platformPort,
+                "");
+    }
+
+    private Path write(String name, String text) {
+        try {
+            Path file = directory.resolve(name);
+            Files.createDirectories(file.getParent());
+            return Files.writeString(file, text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/EtcdHandlers.java
@@ -0,0 +1,164 @@
+package org.cuminspur.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.cuminspur.store.StoreEntry;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.Txn;
+import org.cuminspur.store.TxnResult;
+import org.cuminspur.time.Clock;
+import org.xnio.IoUtils;
+
+/** Serves the JSON gateway of etcd v3 from a table in memory; thread-safe. */
+final class EtcdHandlers {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long WATCH_POLL_MS = 50;
+
+    private final KeyValueTable table;
+    private final Faults faults;
+    private final Clock clock;
+
+    EtcdHandlers(KeyValueTable table, Faults faults, Clock clock) {
+        this.table = table;
+        this.faults = faults;
+        this.clock = clock;
+    }
+
+    void range(HttpServerExchange exchange) throws IOException {
+        table.expire(clock.millis());
+        JsonNode request = body(exchange);
+        StoreView view = table.range(text(request, "key"), text(request, "range_end"));
+        ObjectNode reply = header(view.revision());
+        ArrayNode kvs = reply.putArray("kvs");
+        view.entries().forEach(entry -> kvs.add(kv(entry)));
+        StandinPlatform.send(exchange, reply);
+    }
+
+    void txn(HttpServerExchange exchange) throws IOException {
+        table.expire(clock.millis());
+        TxnResult result = table.commit(txn(body(exchange)));
+        if (faults.losesReply()) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        StandinPlatform.send(exchange, header(result.revision()).put("succeeded", result.succeeded()));
+    }
+
+    void grant(HttpServerExchange exchange) throws IOException {
+        long ttl = body(exchange).path("TTL").asLong();
+        String id = Long.toString(table.grant(ttl, clock.millis()));
+        StandinPlatform.send(exchange, JSON.createObjectNode().put("ID", id).put("TTL", Long.toString(ttl)));
+    }
+
+    void keepAlive(HttpServerExchange exchange) throws IOException {
+        long id = body(exchange).path("ID").asLong();
+        long left = table.keepAlive(id, clock.millis());
+        ObjectNode reply = JSON.createObjectNode();
+        reply.putObject("result").put("ID", Long.toString(id)).put("TTL", Long.toString(left));
+        StandinPlatform.send(exchange, reply);
+    }
+
+    void watch(HttpServerExchange exchange) throws IOException {
+        JsonNode request = body(exchange).path("create_request");
+        String from = text(request, "key");
+        String end = text(request, "range_end");
+        BlockingQueue<List<StoreEntry>> queue = new LinkedBlockingQueue<>();
+        BiConsumer<Long, List<StoreEntry>> listener = (revision, changes) -> queue.add(changes);
+        queue.add(table.listen(request.path("start_revision").asLong(1) - 1, listener));
+        try {
+            line(exchange, message(List.of()).put("created", true));
+            while (!faults.outage()) {
+                List<StoreEntry> changes = queue.poll(WATCH_POLL_MS, TimeUnit.MILLISECONDS);
+                List<StoreEntry> seen = changes == null ? List.of() : within(changes, from, end);
+                if (!seen.isEmpty()) {
+                    line(exchange, message(seen));
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            table.unlisten(listener);
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private static List<StoreEntry> within(List<StoreEntry> changes, String from, String end) {
+        return changes.stream()
+                .filter(entry -> entry.key().compareTo(from) >= 0 && entry.key().compareTo(end) < 0)
+                .toList();
+    }
+
+    private static ObjectNode message(List<StoreEntry> changes) {
+        long revision =
+                changes.stream().mapToLong(StoreEntry::modRevision).max().orElse(0);
+        ObjectNode result = header(revision);
+        ArrayNode events = result.putArray("events");
+        changes.forEach(entry -> events.addObject()
+                .put("type", entry.value().isEmpty() ? "DELETE" : "PUT")
+                .set("kv", kv(entry)));
+        return result;
+    }
+
+    private static void line(HttpServerExchange exchange, ObjectNode result) throws IOException {
+        ObjectNode root = JSON.createObjectNode();
+        root.set("result", result);
+        exchange.getOutputStream().write((root + "\n").getBytes(StandardCharsets.UTF_8));
+        exchange.getOutputStream().flush();
+    }
+
+    private static Txn txn(JsonNode request) {
+        List<Txn.Compare> compares = new ArrayList<>();
+        request.path("compare")
+                .forEach(node -> compares.add(new Txn.Compare(
+                        text(node, "key"), node.path("mod_revision").asLong())));
+        List<Txn.Put> puts = new ArrayList<>();
+        List<String> deletes = new ArrayList<>();
+        for (JsonNode node : request.path("success")) {
+            JsonNode put = node.path("request_put");
+            if (put.isObject()) {
+                puts.add(new Txn.Put(
+                        text(put, "key"), text(put, "value"), put.path("lease").asLong()));
+            } else {
+                deletes.add(text(node.path("request_delete_range"), "key"));
+            }
+        }
+        return new Txn(compares, puts, deletes);
+    }
+
+    private static ObjectNode header(long revision) {
+        ObjectNode reply = JSON.createObjectNode();
+        reply.putObject("header").put("revision", Long.toString(revision));
+        return reply;
+    }
+
+    private static ObjectNode kv(StoreEntry entry) {
+        return JSON.createObjectNode()
+                .put("key", encode(entry.key()))
+                .put("value", encode(entry.value()))
+                .put("mod_revision", Long.toString(entry.modRevision()));
+    }
+
+    private static JsonNode body(HttpServerExchange exchange) throws IOException {
+        return JSON.readTree(exchange.getInputStream());
+    }
+
+    private static String text(JsonNode node, String field) {
+        return new String(Base64.getDecoder().decode(node.path(field).asText("")), StandardCharsets.UTF_8);
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/Faults.java
@@ -0,0 +1,48 @@
+package org.cuminspur.standin.platform;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** The faults that the stand-in platform is told to show; thread-safe. */
+public final class Faults {
+    private final AtomicInteger lostReplies = new AtomicInteger();
+    private volatile boolean outage;
+    private volatile long delayMillis;
+    private volatile long listLagMillis;
+
+    /** Returns whether the store refuses all calls. */
+    public boolean outage() {
+        return outage;
+    }
+
+    public void outage(boolean on) {
+        outage = on;
+    }
+
+    /** Returns how long every call to the store takes. */
+    public long delayMillis() {
+        return delayMillis;
+    }
+
+    public void delayMillis(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Returns how old the instance list is. */
+    public long listLagMillis() {
+        return listLagMillis;
+    }
+
+    public void listLagMillis(long millis) {
+        listLagMillis = millis;
+    }
+
+    /** Loses the replies of the next writes, after they took effect. */
+    public void loseReplies(int writes) {
+        lostReplies.set(writes);
+    }
+
+    /** Returns whether the reply of a write that took effect is to be lost. */
+    boolean losesReply() {
+        return lostReplies.getAndUpdate(left -> Math.max(0, left - 1)) > 0;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/KeyValueTable.java
@@ -0,0 +1,114 @@
+package org.cuminspur.standin.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.cuminspur.store.StoreEntry;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.Txn;
+import org.cuminspur.store.TxnResult;
+
+/**
+ * Keys and values with compare-and-swap and leases, in memory.
+ *
+ * <p>Thread-safe; every call is atomic. Listeners run inside the call, so they see changes in order.
+ */
+public final class KeyValueTable {
+    private record Row(StoreEntry entry, long lease) {}
+
+    private record Lease(long ttlMillis, long endMillis) {}
+
+    private final TreeMap<String, Row> rows = new TreeMap<>();
+    private final TreeMap<Long, Lease> leases = new TreeMap<>();
+    private final List<StoreEntry> history = new ArrayList<>();
+    private final List<BiConsumer<Long, List<StoreEntry>>> listeners = new ArrayList<>();
+    private long revision = 1;
+    private long nextLease = 1;
+
+    /** Returns all keys from {@code from} to {@code end}, the end excluded; an empty end means one key. */
+    public synchronized StoreView range(String from, String end) {
+        List<StoreEntry> entries = rows.subMap(from, end.isEmpty() ? from + "\0" : end).values().stream()
+                .map(Row::entry)
+                .toList();
+        return new StoreView(revision, entries);
+    }
+
+    /** Commits a transaction. */
+    public synchronized TxnResult commit(Txn txn) {
+        boolean holds =
+                txn.compares().stream().allMatch(compare -> modRevision(compare.key()) == compare.modRevision());
+        if (holds) {
+            write(txn.puts(), txn.deletes());
+        }
+        return new TxnResult(holds, revision);
+    }
+
+    /** Returns the changes after a revision, then hands later ones to the listener. */
+    public synchronized List<StoreEntry> listen(long afterRevision, BiConsumer<Long, List<StoreEntry>> listener) {
+        listeners.add(listener);
+        return history.stream()
+                .filter(entry -> entry.modRevision() > afterRevision)
+                .toList();
+    }
+
+    /** Stops handing changes to a listener. */
+    public synchronized void unlisten(BiConsumer<Long, List<StoreEntry>> listener) {
+        listeners.remove(listener);
+    }
+
+    /** Returns the id of a new lease. */
+    public synchronized long grant(long ttlSeconds, long now) {
+        long id = nextLease++;
+        leases.put(id, new Lease(ttlSeconds * 1_000, now + ttlSeconds * 1_000));
+        return id;
+    }
+
+    /** Renews a lease and returns the seconds left, 0 if it has lapsed. */
+    public synchronized long keepAlive(long id, long now) {
+        expire(now);
+        Lease lease = leases.get(id);
+        if (lease == null) {
+            return 0;
+        }
+        leases.put(id, new Lease(lease.ttlMillis(), now + lease.ttlMillis()));
+        return lease.ttlMillis() / 1_000;
+    }
+
+    /** Ends the leases that have lapsed, with their keys. */
+    public synchronized void expire(long now) {
+        List<Long> lapsed = leases.entrySet().stream()
+                .filter(entry -> entry.getValue().endMillis() <= now)
+                .map(Map.Entry::getKey)
+                .toList();
+        leases.keySet().removeAll(lapsed);
+        List<String> keys = rows.values().stream()
+                .filter(row -> lapsed.contains(row.lease()))
+                .map(row -> row.entry().key())
+                .toList();
+        if (!keys.isEmpty()) {
+            write(List.of(), keys);
+        }
+    }
+
+    private void write(List<Txn.Put> puts, List<String> deletes) {
+        revision++;
+        List<StoreEntry> changes = new ArrayList<>();
+        for (Txn.Put put : puts) {
+            StoreEntry entry = new StoreEntry(put.key(), put.value(), revision);
+            rows.put(put.key(), new Row(entry, put.lease()));
+            changes.add(entry);
+        }
+        deletes.stream()
+                .filter(key -> rows.remove(key) != null)
+                .forEach(key -> changes.add(new StoreEntry(key, "", revision)));
+        history.addAll(changes);
+        listeners.forEach(listener -> listener.accept(revision, changes));
+    }
+
+    private long modRevision(String key) {
+        Row row = rows.get(key);
+        return row == null ? 0 : row.entry().modRevision();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
@@ -0,0 +1,142 @@
+package org.cuminspur.standin.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.cuminspur.standin.Pace;
+import org.cuminspur.time.Clock;
+import org.xnio.IoUtils;
+
+/**
+ * Takes the place of the platform: key-value service, instance list and switches for faults.
+ *
+ * <p>Thread-safe. Speaks the JSON gateway of etcd v3 and the EndpointSlice list of Kubernetes. Calls are counted by
+ * path, a running watch as one.
+ */
+public final class StandinPlatform implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int THREADS = 128;
+
+    private final Clock clock = Clock.system();
+    private final KeyValueTable table = new KeyValueTable();
+    private final Faults faults = new Faults();
+    private final InstanceTable instances = new InstanceTable(clock, faults);
+    private final Map<String, LongAdder> calls = new ConcurrentHashMap<>();
+    private final Undertow server;
+
+    public StandinPlatform(String host, int port) {
+        EtcdHandlers etcd = new EtcdHandlers(table, faults, clock);
+        RoutingHandler routes = new RoutingHandler()
+                .post("/v3/kv/range", store(etcd::range))
+                .post("/v3/kv/txn", store(etcd::txn))
+                .post("/v3/lease/grant", store(etcd::grant))
+                .post("/v3/lease/keepalive", store(etcd::keepAlive))
+                .post("/v3/watch", store(etcd::watch))
+                .get("/apis/discovery.k8s.io/v1/endpointslices", exchange -> send(exchange, instances.list()))
+                .put("/instances/{name}", exchange -> {
+                    instances.put(parameter(exchange, "name"), JSON.readTree(exchange.getInputStream()));
+                    send(exchange, JSON.createObjectNode());
+                })
+                .delete("/instances/{name}", exchange -> {
+                    instances.remove(parameter(exchange, "name"));
+                    send(exchange, JSON.createObjectNode());
+                })
+                .post("/faults", this::setFaults)
+                .get("/calls", exchange -> send(exchange, counts()));
+        server = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(2)
+                .setWorkerThreads(THREADS)
+                .setHandler(new BlockingHandler(routes))
+                .build();
+        server.start();
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /** Returns the switches for faults. */
+    public Faults faults() {
+        return faults;
+    }
+
+    /** Returns the keys and values. */
+    public KeyValueTable table() {
+        return table;
+    }
+
+    /** Returns the instance list. */
+    public InstanceTable instances() {
+        return instances;
+    }
+
+    /** Returns how often a path was called. */
+    public long calls(String path) {
+        LongAdder count = calls.get(path);
+        return count == null ? 0 : count.sum();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private HttpHandler store(HttpHandler handler) {
+        return exchange -> {
+            calls.computeIfAbsent(exchange.getRequestPath(), key -> new LongAdder())
+                    .increment();
+            if (faults.outage()) {
+                IoUtils.safeClose(exchange.getConnection());
+                return;
+            }
+            Pace.pause(faults.delayMillis());
+            handler.handleRequest(exchange);
+        };
+    }
+
+    private void setFaults(HttpServerExchange exchange) throws IOException {
+        JsonNode wanted = JSON.readTree(exchange.getInputStream());
+        if (wanted.has("outage")) {
+            faults.outage(wanted.path("outage").asBoolean());
+        }
+        if (wanted.has("delay_ms")) {
+            faults.delayMillis(wanted.path("delay_ms").asLong());
+        }
+        if (wanted.has("list_lag_ms")) {
+            faults.listLagMillis(wanted.path("list_lag_ms").asLong());
+        }
+        if (wanted.has("lose_replies")) {
+            faults.loseReplies(wanted.path("lose_replies").asInt());
+        }
+        send(exchange, JSON.createObjectNode());
+    }
+
+    private JsonNode counts() {
+        ObjectNode node = JSON.createObjectNode();
+        new TreeMap<>(calls).forEach((path, count) -> node.put(path, count.sum()));
+        return node;
+    }
+
+    private static String parameter(HttpServerExchange exchange, String name) {
+        return exchange.getQueryParameters().get(name).getFirst();
+    }
+
+    static void send(HttpServerExchange exchange, JsonNode body) {
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(body.toString());
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/service/StandinService.java
@@ -0,0 +1,117 @@
+package org.cuminspur.standin.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RoutingHandler;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminspur.standin.Pace;
+import org.xnio.IoUtils;
+
+/**
+ * Takes the place of a plain service and counts how often each idempotency key was executed.
+ *
+ * <p>Thread-safe. It does not refuse a key that comes again: that is the routers' duty.
+ */
+public final class StandinService implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int THREADS = 64;
+
+    private final String name;
+    private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final AtomicBoolean breakNext = new AtomicBoolean();
+    private final AtomicInteger total = new AtomicInteger();
+    private volatile long delayMillis;
+    private final Undertow server;
+
+    public StandinService(String host, int port, String name) {
+        this.name = name;
+        RoutingHandler control = new RoutingHandler()
+                .post("/faults", this::setFaults)
+                .get("/executions", this::sendExecutions)
+                .setFallbackHandler(this::execute);
+        server = Undertow.builder()
+                .addHttpListener(port, host)
+                .setIoThreads(2)
+                .setWorkerThreads(THREADS)
+                .setHandler(new BlockingHandler(control))
+                .build();
+        server.start();
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /** Returns how often a key was executed. */
+    public int executions(String key) {
+        AtomicInteger count = executions.get(key);
+        return count == null ? 0 : count.get();
+    }
+
+    /** Makes every answer late. */
+    public void delayMillis(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Breaks the connection of the next request after executing it. */
+    public void breakNext() {
+        breakNext.set(true);
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private void execute(HttpServerExchange exchange) throws IOException {
+        String body = new String(exchange.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+        int count = key == null
+                ? 0
+                : executions.computeIfAbsent(key, absent -> new AtomicInteger()).incrementAndGet();
+        Pace.pause(delayMillis);
+        if (breakNext.compareAndSet(true, false)) {
+            IoUtils.safeClose(exchange.getConnection());
+            return;
+        }
+        ObjectNode answer = JSON.createObjectNode()
+                .put("service", name)
+                .put("method", exchange.getRequestMethod().toString())
+                .put("path", exchange.getRequestPath())
+                .put("body", body)
+                .put("execution", count)
+                .put("number", total.incrementAndGet());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(answer.toString());
+    }
+
+    private void sendExecutions(HttpServerExchange exchange) {
+        ObjectNode node = JSON.createObjectNode();
+        new TreeMap<>(executions).forEach((key, count) -> node.put(key, count.get()));
+        exchange.getResponseSender().send(node.toString());
+    }
+
+    private void setFaults(HttpServerExchange exchange) throws IOException {
+        JsonNode wanted = JSON.readTree(exchange.getInputStream());
+        if (wanted.has("delay_ms")) {
+            delayMillis(wanted.path("delay_ms").asLong());
+        }
+        if (wanted.path("break_next").asBoolean()) {
+            breakNext();
+        }
+        exchange.getResponseSender().send("ok\n");
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/config/DomainSpec.java
@@ -0,0 +1,10 @@
+package org.cuminspur.config;
+
+import org.cuminspur.id.FailureDomainId;
+
+/**
+ * What operators publish about a failure domain; immutable.
+ *
+ * @param region the region the domain stands in
+ */
+public record DomainSpec(FailureDomainId id, String region) {}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -0,0 +1,57 @@
+package org.cuminspur.control;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.cuminspur.control.system.ConfigSystem;
+import org.cuminspur.control.system.GossipSystem;
+import org.cuminspur.control.system.MembershipSystem;
+import org.cuminspur.control.system.OrderSystem;
+import org.cuminspur.routing.RoutingSnapshot;
+
+/**
+ * Decides for one router: takes typed inputs, gives typed outputs, and builds the snapshot that traffic uses.
+ *
+ * <p>Has no sockets, threads or clock of its own. {@link #accept} and {@link #tick} are called on one thread;
+ * {@link #snapshot} may be called on any. Equal inputs, times and seeds give equal outputs.
+ */
+public final class ControlCore {
+    private final Tables tables;
+    private final InputHandlers handlers = new InputHandlers();
+    private final List<ControlSystem> systems;
+    private final SnapshotBuilder snapshots = new SnapshotBuilder();
+    private volatile RoutingSnapshot snapshot = RoutingSnapshot.EMPTY;
+
+    public ControlCore(Self self, RandomGenerator random) {
+        tables = new Tables(self);
+        systems = List.of(
+                new MembershipSystem(tables),
+                new ConfigSystem(tables),
+                new OrderSystem(tables),
+                new GossipSystem(tables, random));
+        systems.forEach(system -> system.register(handlers));
+        handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
+    }
+
+    /** Acts on one input. */
+    public void accept(ControlInput input, long now, Consumer<ControlOutput> out) {
+        handlers.handle(input, new Turn(now, out));
+    }
+
+    /** Runs all systems over the tables, then publishes a new snapshot. */
+    public void tick(long now, Consumer<ControlOutput> out) {
+        Turn turn = new Turn(now, out);
+        systems.forEach(system -> system.tick(turn));
+        snapshot = snapshots.build(tables);
+    }
+
+    /** Returns the snapshot of the latest tick. */
+    public RoutingSnapshot snapshot() {
+        return snapshot;
+    }
+
+    /** Returns the tables; for use on the control thread. */
+    public Tables tables() {
+        return tables;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/ControlInput.java
@@ -0,0 +1,40 @@
+package org.cuminspur.control;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.cuminspur.control.message.PeerMessage;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.store.StoreFault;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.TxnResult;
+
+/**
+ * What reaches the control core from outside; each kind is an immutable record.
+ *
+ * <p>The core acts on nothing else, so a run can be replayed from its inputs and its seed.
+ */
+public interface ControlInput {
+    /** The platform's list of instances, live and leaving; may lag. */
+    record InstancesListed(List<ListedInstance> instances) implements ControlInput {}
+
+    /** A reply to {@link ControlOutput.ReadStore}. */
+    record StoreRead(String prefix, Either<StoreFault, StoreView> reply) implements ControlInput {}
+
+    /** A reply to {@link ControlOutput.CommitStore} with the same tag. */
+    record StoreCommitted(String tag, Either<StoreFault, TxnResult> reply) implements ControlInput {}
+
+    /** Keys that changed under a running watch; a deleted key has an empty value. */
+    record StoreChanged(String prefix, StoreView changes) implements ControlInput {}
+
+    /** A watch broke or was closed. */
+    record WatchEnded(String prefix) implements ControlInput {}
+
+    /** A message from another router whose authentication held. */
+    record PeerReceived(InstanceId from, PeerMessage message) implements ControlInput {}
+
+    /** An operator's order, given to this router. */
+    record OrderGiven(Target target, boolean out, String by) implements ControlInput {}
+
+    /** The router was asked to stop. */
+    record StopRequested() implements ControlInput {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/ControlOutput.java
@@ -0,0 +1,34 @@
+package org.cuminspur.control;
+
+import org.cuminspur.control.message.PeerMessage;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.store.Txn;
+
+/** What the control core asks its surroundings to do; each kind is an immutable record. */
+public interface ControlOutput {
+    /** Sends a message to another router; it may be lost, delayed or crossed. */
+    record SendPeer(InstanceId to, PeerMessage message) implements ControlOutput {}
+
+    /** Reads all keys under a prefix; answered by {@link ControlInput.StoreRead}. */
+    record ReadStore(String prefix) implements ControlOutput {}
+
+    /** Commits a transaction; answered by {@link ControlInput.StoreCommitted}. */
+    record CommitStore(String tag, Txn txn) implements ControlOutput {}
+
+    /** Starts to watch a prefix; answered by {@link ControlInput.StoreChanged} until it ends. */
+    record StartWatch(String prefix, long afterRevision) implements ControlOutput {}
+
+    /** Ends a watch. */
+    record StopWatch(String prefix) implements ControlOutput {}
+
+    /** Asks an upstream for its load; what it reports goes to its gauge. */
+    record ProbeUpstream(UpstreamId upstream) implements ControlOutput {}
+
+    /**
+     * Tells that a state changed, for the log.
+     *
+     * @param event short name with hyphens, such as {@code revision-applied}
+     */
+    record StateChanged(String event, String detail) implements ControlOutput {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/InputHandlers.java
@@ -0,0 +1,53 @@
+package org.cuminspur.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.cuminspur.control.message.PeerMessage;
+import org.cuminspur.id.InstanceId;
+
+/**
+ * Leads each kind of input to the systems that act on it.
+ *
+ * <p>Filled while the core is built, then used on the control thread only.
+ */
+public final class InputHandlers {
+    /** Acts on a message from a peer. */
+    @FunctionalInterface
+    public interface PeerHandler<M extends PeerMessage> {
+        /** Acts on {@code message}, sent by {@code from}. */
+        void handle(InstanceId from, M message, Turn turn);
+    }
+
+    private final Map<Class<?>, List<BiConsumer<ControlInput, Turn>>> byInput = new HashMap<>();
+    private final Map<Class<?>, List<PeerHandler<PeerMessage>>> byMessage = new HashMap<>();
+
+    InputHandlers() {
+        on(ControlInput.PeerReceived.class, this::peer);
+    }
+
+    /** Adds a handler for one kind of input. */
+    public <I extends ControlInput> void on(Class<I> kind, BiConsumer<I, Turn> handler) {
+        byInput.computeIfAbsent(kind, key -> new ArrayList<>())
+                .add((input, turn) -> handler.accept(kind.cast(input), turn));
+    }
+
+    /** Adds a handler for one kind of peer message. */
+    public <M extends PeerMessage> void onPeer(Class<M> kind, PeerHandler<M> handler) {
+        byMessage
+                .computeIfAbsent(kind, key -> new ArrayList<>())
+                .add((from, message, turn) -> handler.handle(from, kind.cast(message), turn));
+    }
+
+    void handle(ControlInput input, Turn turn) {
+        byInput.getOrDefault(input.getClass(), List.of()).forEach(handler -> handler.accept(input, turn));
+    }
+
+    private void peer(ControlInput.PeerReceived input, Turn turn) {
+        byMessage
+                .getOrDefault(input.message().getClass(), List.of())
+                .forEach(handler -> handler.handle(input.from(), input.message(), turn));
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/PeerRow.java
@@ -0,0 +1,58 @@
+package org.cuminspur.control;
+
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.Revision;
+
+/** What is known of another router; used on the control thread only. */
+public final class PeerRow {
+    private final InstanceId id;
+    private ListedInstance listed;
+    private long heardMillis = Long.MIN_VALUE;
+    private Revision config = Revision.NONE;
+    private boolean stopping;
+
+    PeerRow(ListedInstance listed) {
+        this.id = new InstanceId(listed.name());
+        this.listed = listed;
+    }
+
+    public InstanceId id() {
+        return id;
+    }
+
+    /** Returns the peer's line in the platform's list. */
+    public ListedInstance listed() {
+        return listed;
+    }
+
+    public FailureDomainId domain() {
+        return listed.domain();
+    }
+
+    /** Returns when the peer was last heard, or {@link Long#MIN_VALUE} if never. */
+    public long heardMillis() {
+        return heardMillis;
+    }
+
+    /** Returns the newest revision that the peer said it holds. */
+    public Revision config() {
+        return config;
+    }
+
+    /** Returns whether the peer said that it is about to leave. */
+    public boolean stopping() {
+        return stopping;
+    }
+
+    void listed(ListedInstance instance) {
+        this.listed = instance;
+    }
+
+    /** Notes what the peer said of itself. */
+    public void heard(long now, Revision revision, boolean isStopping) {
+        heardMillis = now;
+        config = revision.after(config) ? revision : config;
+        stopping = isStopping;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -0,0 +1,148 @@
+package org.cuminspur.control;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cuminspur.config.ConfigDocument;
+import org.cuminspur.config.FleetConfig;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
+
+/**
+ * The state of the control core: one table for each kind of entity.
+ *
+ * <p>Used on the control thread only. The configuration's revision never falls, and no order gives way to one that
+ * it beats.
+ */
+public final class Tables {
+    private final Self self;
+    private final Map<InstanceId, PeerRow> peers = new TreeMap<>();
+    private final Map<UpstreamId, UpstreamRow> upstreams = new TreeMap<>();
+    private final Map<Target, Order> orders = new TreeMap<>();
+    private ConfigDocument document = ConfigDocument.EMPTY;
+    private FleetConfig config = FleetConfig.EMPTY;
+    private boolean stopping;
+
+    public Tables(Self self) {
+        this.self = self;
+    }
+
+    public Self self() {
+        return self;
+    }
+
+    /** Returns the configuration in force, as published. */
+    public ConfigDocument document() {
+        return document;
+    }
+
+    /** Returns the configuration in force. */
+    public FleetConfig config() {
+        return config;
+    }
+
+    /** Puts a newer configuration in force; returns whether it was newer. */
+    public boolean apply(ConfigDocument newDocument, FleetConfig newConfig) {
+        if (!newDocument.revision().after(document.revision())) {
+            return false;
+        }
+        document = newDocument;
+        config = newConfig;
+        return true;
+    }
+
+    /** Returns whether this router was asked to stop. */
+    public boolean stopping() {
+        return stopping;
+    }
+
+    /** Notes that this router was asked to stop. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Returns the other routers in order of their ids. */
+    public Stream<PeerRow> peers() {
+        return peers.values().stream();
+    }
+
+    /** Returns another router, or null if it is not listed. */
+    public PeerRow peer(InstanceId id) {
+        return peers.get(id);
+    }
+
+    /** Returns the upstreams in order of their ids. */
+    public Stream<UpstreamRow> upstreams() {
+        return upstreams.values().stream();
+    }
+
+    /** Returns an upstream, or null if it is not listed. */
+    public UpstreamRow upstream(UpstreamId id) {
+        return upstreams.get(id);
+    }
+
+    /** Returns the orders held, in order of their targets. */
+    public Stream<Order> orders() {
+        return orders.values().stream();
+    }
+
+    /** Returns the order about a target, or null if there is none. */
+    public Order order(Target target) {
+        return orders.get(target);
+    }
+
+    /** Takes an order if it beats the one held; returns whether it did. */
+    public boolean merge(Order order) {
+        Order held = orders.get(order.target());
+        if (held != null && !order.beats(held)) {
+            return false;
+        }
+        orders.put(order.target(), order);
+        return true;
+    }
+
+    /** Returns whether operators took a failure domain out of service. */
+    public boolean out(FailureDomainId domain) {
+        return out(new Target(Target.Kind.DOMAIN, domain.value()));
+    }
+
+    /** Returns whether operators took an upstream, or the failure domain it stands in, out of service. */
+    public boolean out(UpstreamRow row) {
+        return out(row.domain())
+                || out(new Target(Target.Kind.UPSTREAM, row.id().value()));
+    }
+
+    private boolean out(Target target) {
+        Order order = orders.get(target);
+        return order != null && order.out();
+    }
+
+    /** Replaces what the platform's list says; entities that it lacks are dropped. */
+    public void list(Stream<ListedInstance> instances) {
+        Map<Boolean, Map<String, ListedInstance>> byRole = instances.collect(Collectors.partitioningBy(
+                instance -> instance.service().equals(ListedInstance.ROUTERS),
+                Collectors.toMap(ListedInstance::name, Function.identity(), (a, b) -> b, TreeMap::new)));
+        Map<String, ListedInstance> routers = byRole.get(true);
+        routers.remove(self.id().value());
+        merge(routers, peers, InstanceId::new, PeerRow::new, PeerRow::listed);
+        merge(byRole.get(false), upstreams, UpstreamId::new, UpstreamRow::new, UpstreamRow::listed);
+    }
+
+    private static <K, R> void merge(
+            Map<String, ListedInstance> listed,
+            Map<K, R> rows,
+            Function<String, K> key,
+            Function<ListedInstance, R> create,
+            java.util.function.BiConsumer<R, ListedInstance> update) {
+        Set<K> keys = listed.keySet().stream().map(key).collect(Collectors.toSet());
+        rows.keySet().retainAll(keys);
+        listed.forEach((name, instance) -> {
+            R row = rows.computeIfAbsent(key.apply(name), id -> create.apply(instance));
+            update.accept(row, instance);
+        });
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/Turn.java
@@ -0,0 +1,25 @@
+package org.cuminspur.control;
+
+import java.util.function.Consumer;
+import org.cuminspur.control.message.PeerMessage;
+import org.cuminspur.id.InstanceId;
+
+/**
+ * One step of the control core: its time and where outputs go.
+ *
+ * <p>Used on the control thread only.
+ *
+ * @param now time in milliseconds, the same throughout the step
+ * @param out takes the outputs in order
+ */
+public record Turn(long now, Consumer<ControlOutput> out) {
+    /** Sends a message to another router. */
+    public void send(InstanceId to, PeerMessage message) {
+        out.accept(new ControlOutput.SendPeer(to, message));
+    }
+
+    /** Tells that a state changed. */
+    public void changed(String event, String detail) {
+        out.accept(new ControlOutput.StateChanged(event, detail));
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/message/PeerMessage.java
@@ -0,0 +1,94 @@
+package org.cuminspur.control.message;
+
+import java.util.List;
+import java.util.Map;
+import org.cuminspur.config.ConfigFile;
+import org.cuminspur.control.Order;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.Revision;
+import org.cuminspur.id.UpstreamId;
+
+/**
+ * A message from one router to another; each kind is an immutable record.
+ *
+ * <p>Every message merges by a version that it carries, so that receiving it late, twice or out of order is harmless.
+ */
+public sealed interface PeerMessage {
+    /**
+     * What a router holds, sent to a few peers at every gossip interval.
+     *
+     * @param config the revision in force
+     * @param orders order-independent hash over all orders held
+     * @param stopping whether the sender is about to leave
+     */
+    record Digest(FailureDomainId domain, Revision config, long orders, boolean stopping) implements PeerMessage {}
+
+    /** Asks for a configuration newer than {@code have}. */
+    record ConfigRequest(Revision have) implements PeerMessage {}
+
+    /**
+     * The files that changed between two revisions.
+     *
+     * @param base the revision that the receiver must hold, or {@link Revision#NONE} for a whole document
+     * @param kept names of all files of the newer revision
+     */
+    record ConfigDelta(
+            Revision base, Revision revision, String publication, Map<String, ConfigFile> changed, List<String> kept)
+            implements PeerMessage {
+        public ConfigDelta {
+            changed = Map.copyOf(changed);
+            kept = List.copyOf(kept);
+        }
+    }
+
+    /** Orders that the receiver may lack; {@code reply} asks for the receiver's own in return. */
+    record Orders(List<Order> orders, boolean reply) implements PeerMessage {
+        public Orders {
+            orders = List.copyOf(orders);
+        }
+    }
+
+    /** Upstreams whose state is out of the ordinary, as the sender has seen them. */
+    record UpstreamAlerts(List<UpstreamAlert> alerts) implements PeerMessage {
+        public UpstreamAlerts {
+            alerts = List.copyOf(alerts);
+        }
+    }
+
+    /**
+     * One upstream out of the ordinary; immutable.
+     *
+     * @param incarnation start of the upstream's process in milliseconds since the epoch
+     * @param observedMillis when it was observed, by the observer's clock
+     * @param load work in progress as a multiple of what the upstream bears
+     */
+    record UpstreamAlert(UpstreamId upstream, Kind kind, long incarnation, long observedMillis, double load) {
+        /** The kinds of alert. */
+        public enum Kind {
+            HOT,
+            COLD,
+            LEAVING
+        }
+    }
+
+    /** What the sender's heavy accounts use; sent to the router that sums the account. */
+    record AccountUsage(List<Usage> usages) implements PeerMessage {
+        public AccountUsage {
+            usages = List.copyOf(usages);
+        }
+    }
+
+    /** One account's demand at one router; immutable. */
+    record Usage(AccountId account, double requestsPerSecond, double concurrent) {}
+
+    /** Shares of the accounts' limits, granted by the router that sums them. */
+    record AccountShares(List<Share> shares) implements PeerMessage {
+        public AccountShares {
+            shares = List.copyOf(shares);
+        }
+    }
+
+    /** One account's share for one router; immutable. */
+    record Share(AccountId account, double requestsPerSecond, double concurrent, long ttlMillis) {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/id/ChatKey.java
@@ -0,0 +1,24 @@
+package org.cuminspur.id;
+
+/**
+ * Identifies a chat within its client account, so that it returns to the same upstream.
+ *
+ * <p>Immutable, with value equality; safe to share between threads.
+ *
+ * @param value the name, never blank
+ */
+public record ChatKey(String value) implements Comparable<ChatKey> {
+    public ChatKey {
+        Names.requireName(value);
+    }
+
+    @Override
+    public int compareTo(ChatKey other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/id/InstanceId.java
@@ -0,0 +1,24 @@
+package org.cuminspur.id;
+
+/**
+ * Names one router process for as long as it runs; a replacement gets a new name.
+ *
+ * <p>Immutable, with value equality; safe to share between threads.
+ *
+ * @param value the name, never blank
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+    public InstanceId {
+        Names.requireName(value);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/internal/config/ConfigStoreCodec.java
@@ -0,0 +1,90 @@
+package org.cuminspur.internal.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cuminspur.config.ConfigDocument;
+import org.cuminspur.config.ConfigFile;
+import org.cuminspur.id.Revision;
+import org.cuminspur.store.StoreEntry;
+import org.cuminspur.store.StoreKeys;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.Txn;
+
+/**
+ * Maps a configuration document to keys of the store and back; stateless and thread-safe.
+ *
+ * <p>The head key holds number, publication id and the revision of each file; each file has a key of its own. A
+ * document is written in one transaction conditional on the head, so that a reader of one store revision always
+ * finds the files that its head names.
+ */
+public final class ConfigStoreCodec {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private record Head(long revision, String publication, Map<String, Long> files) {}
+
+    private ConfigStoreCodec() {}
+
+    /**
+     * Returns the document in a view of {@link StoreKeys#CONFIG}.
+     *
+     * @throws IllegalStateException if the view does not hold the files that its head names
+     */
+    public static ConfigDocument read(StoreView view) {
+        return view.entry(StoreKeys.CONFIG_HEAD)
+                .map(head -> document(head, view))
+                .orElse(ConfigDocument.EMPTY);
+    }
+
+    /** Returns the write that replaces {@code base} by {@code next} if the head is still at {@code headModRevision}. */
+    public static Txn write(ConfigDocument base, ConfigDocument next, long headModRevision) {
+        Map<String, Long> revisions = new TreeMap<>();
+        next.files().forEach((name, file) -> revisions.put(name, file.revision().value()));
+        List<Txn.Put> puts = new ArrayList<>();
+        puts.add(Txn.Put.of(
+                StoreKeys.CONFIG_HEAD, json(new Head(next.revision().value(), next.publication(), revisions))));
+        next.files().entrySet().stream()
+                .filter(entry -> !entry.getValue().equals(base.files().get(entry.getKey())))
+                .map(entry -> Txn.Put.of(
+                        StoreKeys.CONFIG_FILE + entry.getKey(), entry.getValue().text()))
+                .forEach(puts::add);
+        List<String> deletes = base.files().keySet().stream()
+                .filter(name -> !next.files().containsKey(name))
+                .map(name -> StoreKeys.CONFIG_FILE + name)
+                .toList();
+        return new Txn(List.of(new Txn.Compare(StoreKeys.CONFIG_HEAD, headModRevision)), puts, deletes);
+    }
+
+    private static ConfigDocument document(StoreEntry headEntry, StoreView view) {
+        Head head = head(headEntry.value());
+        Map<String, ConfigFile> files = new HashMap<>();
+        head.files().forEach((name, revision) -> files.put(name, file(view, name, revision)));
+        return new ConfigDocument(new Revision(head.revision()), head.publication(), files);
+    }
+
+    private static ConfigFile file(StoreView view, String name, long revision) {
+        return view.entry(StoreKeys.CONFIG_FILE + name)
+                .map(entry -> new ConfigFile(new Revision(revision), entry.value()))
+                .orElseThrow(() -> new IllegalStateException("the store's head names a missing file: " + name));
+    }
+
+    private static Head head(String json) {
+        try {
+            return JSON.readValue(json, Head.class);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("the store's configuration head is malformed", e);
+        }
+    }
+
+    private static String json(Head head) {
+        try {
+            return JSON.writeValueAsString(head);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/once/StoredAnswer.java
@@ -0,0 +1,9 @@
+package org.cuminspur.once;
+
+/**
+ * An answer kept for repeats of an action; immutable.
+ *
+ * @param contentType media type of the body, may be empty
+ * @param body the answer's body as UTF-8 text
+ */
+public record StoredAnswer(int status, String contentType, String body) {}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/publish/PublishResult.java
@@ -0,0 +1,27 @@
+package org.cuminspur.publish;
+
+import java.util.List;
+import org.cuminspur.config.ConfigFault;
+import org.cuminspur.id.Revision;
+
+/** How a publication ended; each kind is an immutable record. */
+public sealed interface PublishResult {
+    /** The publication is the revision given. */
+    record Published(Revision revision) implements PublishResult {}
+
+    /** The files are what is in force already. */
+    record Unchanged(Revision revision) implements PublishResult {}
+
+    /** The merged files have faults; nothing was published. */
+    record Faulty(List<ConfigFault> faults) implements PublishResult {}
+
+    /**
+     * Another publication changed the same files meanwhile; nothing was published.
+     *
+     * @param files the files that both changed
+     */
+    record Conflict(Revision revision, List<String> files) implements PublishResult {}
+
+    /** The platform's store did not answer in time; whether the publication took effect is not known. */
+    record StoreDown(boolean mayHavePublished) implements PublishResult {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/store/Store.java
@@ -0,0 +1,39 @@
+package org.cuminspur.store;
+
+import io.vavr.control.Either;
+import java.util.function.Consumer;
+
+/**
+ * The platform's key-value service.
+ *
+ * <p>Calls return at once; each reply is given exactly once, possibly on another thread. Implementations are
+ * thread-safe. A value is at most 1 MB of UTF-8.
+ */
+public interface Store {
+    /** Reads all keys that start with {@code prefix}, in key order. */
+    void range(String prefix, Consumer<Either<StoreFault, StoreView>> reply);
+
+    /** Commits a transaction. */
+    void commit(Txn txn, Consumer<Either<StoreFault, TxnResult>> reply);
+
+    /**
+     * Watches keys that start with {@code prefix} for changes after a revision of the store.
+     *
+     * <p>{@code changes} receives the keys that changed, a deleted one with an empty value; {@code ended} runs once,
+     * when the watch has broken or was closed. A watch that breaks may have missed changes: read again.
+     */
+    Watch watch(String prefix, long afterRevision, Consumer<StoreView> changes, Runnable ended);
+
+    /** Grants a lease of {@code ttlSeconds}; the reply holds its id. */
+    void grantLease(long ttlSeconds, Consumer<Either<StoreFault, Long>> reply);
+
+    /** Keeps a lease alive; the reply holds the seconds left, 0 or less if it has lapsed. */
+    void keepAlive(long lease, Consumer<Either<StoreFault, Long>> reply);
+
+    /** A running watch; thread-safe. */
+    @FunctionalInterface
+    interface Watch {
+        /** Ends the watch; may be called more than once. */
+        void close();
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/store/StoreView.java
@@ -0,0 +1,25 @@
+package org.cuminspur.store;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Entries read at one revision of the store; immutable.
+ *
+ * @param revision the store's revision at the read
+ */
+public record StoreView(long revision, List<StoreEntry> entries) {
+    public StoreView {
+        entries = List.copyOf(entries);
+    }
+
+    /** Returns the entry of a key. */
+    public Optional<StoreEntry> entry(String key) {
+        return entries.stream().filter(entry -> entry.key().equals(key)).findFirst();
+    }
+
+    /** Returns the revision that last wrote a key, or 0 if the key is absent. */
+    public long modRevision(String key) {
+        return entry(key).map(StoreEntry::modRevision).orElse(0L);
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/store/Txn.java
@@ -0,0 +1,42 @@
+package org.cuminspur.store;
+
+import java.util.List;
+
+/**
+ * A write that takes effect as a whole if every compared key is unchanged; immutable.
+ *
+ * @param compares conditions, all of which must hold
+ * @param puts keys to write
+ * @param deletes keys to remove
+ */
+public record Txn(List<Compare> compares, List<Put> puts, List<String> deletes) {
+    public Txn {
+        compares = List.copyOf(compares);
+        puts = List.copyOf(puts);
+        deletes = List.copyOf(deletes);
+    }
+
+    /** Returns a compare-and-swap of one key. */
+    public static Txn swap(String key, long modRevision, String value) {
+        return new Txn(List.of(new Compare(key, modRevision)), List.of(Put.of(key, value)), List.of());
+    }
+
+    /**
+     * Holds if the key was last written at a revision; immutable.
+     *
+     * @param modRevision the store's revision, or 0 if the key must be absent
+     */
+    public record Compare(String key, long modRevision) {}
+
+    /**
+     * Writes one key; immutable.
+     *
+     * @param lease id of the lease that the key lives by, or 0 if it lasts
+     */
+    public record Put(String key, String value, long lease) {
+        /** Returns a write that lasts. */
+        public static Put of(String key, String value) {
+            return new Put(key, value, 0);
+        }
+    }
+}
