Add fakes on virtual time for the core's interfaces

VirtualTime, MemoryStore and MemoryFleet drive many control cores in one process with faults of store and links, so that proofs and measures share one set of small fakes.

--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/EtcdHandlers.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/EtcdHandlers.java
@@ -18,6 +18,7 @@
 import org.cuminspur.store.StoreView;
 import org.cuminspur.store.Txn;
 import org.cuminspur.store.TxnResult;
+import org.cuminspur.testing.KeyValueTable;
 import org.cuminspur.time.Clock;
 import org.xnio.IoUtils;
 
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.cuminspur.standin.Pace;
+import org.cuminspur.testing.KeyValueTable;
 import org.cuminspur.time.Clock;
 import org.xnio.IoUtils;
 
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/control/ControlFleetTest.java
@@ -0,0 +1,56 @@
+package org.cuminspur.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cuminspur.control.Target.Kind;
+import org.cuminspur.id.Revision;
+import org.cuminspur.publish.PublishResult;
+import org.cuminspur.publish.Publisher;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryStore;
+import org.testng.annotations.Test;
+
+/** Checks that what operators say reaches every router. */
+public class ControlFleetTest {
+    private static final List<String> DOMAINS = List.of("milano", "torino", "verona");
+
+    @Test
+    public void publishedRevisionReachesEveryRouter() {
+        MemoryFleet fleet = new MemoryFleet(1);
+        fleet.start(6, DOMAINS);
+        fleet.run(2_000);
+        AtomicReference<PublishResult> result = new AtomicReference<>();
+        new Publisher(
+                        new MemoryStore(
+                                fleet.time(),
+                                fleet.random(),
+                                fleet.table(),
+                                fleet.router("router-0").store().faults()),
+                        "publication-1",
+                        Map.of("stock.ini", "[service stock]\nkind = plain\n"),
+                        Set.of(),
+                        result::set)
+                .call();
+        fleet.run(4_000);
+        assertEquals(result.get(), new PublishResult.Published(new Revision(1)));
+        assertTrue(fleet.routers()
+                .allMatch(router -> router.core().snapshot().revision().value() == 1));
+    }
+
+    @Test
+    public void orderSpreadsWhileTheStoreIsDown() {
+        MemoryFleet fleet = new MemoryFleet(2);
+        fleet.start(6, DOMAINS);
+        fleet.run(2_000);
+        fleet.routers().forEach(router -> router.store().faults().outage(true));
+        fleet.router("router-0").accept(new ControlInput.OrderGiven(new Target(Kind.DOMAIN, "verona"), true, "test"));
+        fleet.run(4_000);
+        assertTrue(fleet.routers()
+                .allMatch(router -> router.core().tables().orders().anyMatch(Order::out)));
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/KeyValueTable.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/KeyValueTable.java
@@ -1,4 +1,4 @@
-package org.cuminspur.standin.platform;
+package org.cuminspur.testing;
 
 import java.util.ArrayList;
 import java.util.List;
--- /dev/null
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/StoreFaults.java
@@ -0,0 +1,60 @@
+package org.cuminspur.testing;
+
+/**
+ * The faults that a {@link MemoryStore} shows; used by one thread.
+ *
+ * <p>Shares are from 0 to 1 and are drawn for each call.
+ */
+public final class StoreFaults {
+    private boolean outage;
+    private double lostReplyShare;
+    private double lostRequestShare;
+    private long minDelayMillis = 1;
+    private long maxDelayMillis = 5;
+
+    /** Returns whether no call is answered. */
+    public boolean outage() {
+        return outage;
+    }
+
+    public StoreFaults outage(boolean on) {
+        outage = on;
+        return this;
+    }
+
+    /** Returns the share of calls whose reply is lost after they took effect. */
+    public double lostReplyShare() {
+        return lostReplyShare;
+    }
+
+    public StoreFaults lostReplyShare(double share) {
+        lostReplyShare = share;
+        return this;
+    }
+
+    /** Returns the share of calls that are lost before they took effect. */
+    public double lostRequestShare() {
+        return lostRequestShare;
+    }
+
+    public StoreFaults lostRequestShare(double share) {
+        lostRequestShare = share;
+        return this;
+    }
+
+    /** Returns the shortest way of a call to the store or of its reply. */
+    public long minDelayMillis() {
+        return minDelayMillis;
+    }
+
+    /** Returns the longest way of a call to the store or of its reply. */
+    public long maxDelayMillis() {
+        return maxDelayMillis;
+    }
+
+    public StoreFaults delay(long minMillis, long maxMillis) {
+        minDelayMillis = minMillis;
+        maxDelayMillis = maxMillis;
+        return this;
+    }
+}
