Record actions that must run at most once in the store

Every request on a route that is not idempotent was refused, since no ledger was wired. One record for each action is now written by compare-and-swap before the action is sent. A lost reply is settled by the attempt id in the record, a write that may still take effect after its attempt was given up is fenced off, and records are deleted only below a floor that every write of a record compares with, so that no clock guards safety.

--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -6,12 +6,12 @@
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
 import org.cuminspur.http.platform.InstanceList;
-import org.cuminspur.once.RefusingLedger;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.router.internal.caller.CallerServer;
 import org.cuminspur.router.internal.caller.RequestPipeline;
 import org.cuminspur.router.internal.caller.UpstreamCaller;
 import org.cuminspur.router.internal.control.ControlLoop;
+import org.cuminspur.router.internal.once.LedgerDriver;
 import org.cuminspur.router.internal.operator.OperatorServer;
 import org.cuminspur.time.Clock;
 
@@ -26,6 +26,7 @@
     private final HttpClient http;
     private final EtcdStore store;
     private final PeerLinks peers;
+    private final LedgerDriver once;
     private final ControlLoop control;
     private final CallerServer callers;
     private final OperatorServer operators;
@@ -36,6 +37,7 @@
         RouterSettings.Platform platform = settings.platform();
         http = new HttpClient(clock, IO_THREADS, platform.timeoutMillis());
         store = new EtcdStore(http, platform.store(), platform.timeoutMillis());
+        once = new LedgerDriver(settings.once(), settings.self().id(), store, clock, metrics);
         InstanceList instances = new InstanceList(http, platform.instances(), platform.timeoutMillis());
         control = new ControlLoop(settings.self(), clock, store, instances, metrics);
         peers = new PeerLinks(
@@ -48,7 +50,7 @@
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
                 new ConcurrencyAdmission(settings.callers().threads()),
-                new RefusingLedger(),
+                once.ledger(),
                 new UpstreamCaller(http, clock, metrics),
                 clock);
         callers = new CallerServer(settings, pipeline, metrics);
@@ -58,6 +60,7 @@
     /** Starts a router. */
     public static RouterDaemon start(RouterSettings settings) {
         RouterDaemon daemon = new RouterDaemon(settings);
+        daemon.once.start();
         daemon.callers.start();
         daemon.operators.start();
         daemon.control.start(daemon.peers);
@@ -73,6 +76,7 @@
     public void stop() {
         control.post(new ControlInput.StopRequested());
         callers.stop();
+        once.close();
         operators.stop();
         control.close();
         peers.close();
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
@@ -2,14 +2,22 @@
 
 import org.cuminspur.control.Self;
 import org.cuminspur.http.platform.PlatformAddress;
+import org.cuminspur.once.LedgerSettings;
 
 /**
  * A router's settings, parsed once at start; immutable.
  *
  * @param host IP address to listen on
+ * @param once what is kept of actions that must run at most once
  */
 public record RouterSettings(
-        Self self, String host, Callers callers, Operators operators, Peers peers, Platform platform) {
+        Self self,
+        String host,
+        Callers callers,
+        Operators operators,
+        Peers peers,
+        Platform platform,
+        LedgerSettings once) {
     /**
      * How callers are served; immutable.
      *
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettingsParser.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettingsParser.java
@@ -14,6 +14,8 @@
 import org.cuminspur.internal.ini.IniReader;
 import org.cuminspur.internal.ini.IniSection;
 import org.cuminspur.internal.ini.SectionParser;
+import org.cuminspur.once.LedgerSettings;
+import org.cuminspur.once.UndatedKeys;
 
 /**
  * Reads a router's settings from INI text and reports every fault with its line.
@@ -23,7 +25,7 @@
 public final class RouterSettingsParser {
     private static final int MAX_PORT = 65_535;
     private static final int MIN_KEY_CHARS = 16;
-    private static final Set<String> SECTIONS = Set.of("router", "callers", "operators", "peers", "platform");
+    private static final Set<String> SECTIONS = Set.of("router", "callers", "operators", "peers", "platform", "once");
 
     private final String file;
     private final List<ConfigFault> faults = new ArrayList<>();
@@ -64,7 +66,8 @@
                 callers(in("callers")),
                 operators(in("operators")),
                 peers(in("peers")),
-                platform(in("platform")));
+                platform(in("platform")),
+                once(in("once")));
     }
 
     private static RouterSettings.Callers callers(SectionParser in) {
@@ -92,6 +95,13 @@
         return new RouterSettings.Platform(store, instances, in.duration("timeout", 1_000, 10, 60_000));
     }
 
+    private static LedgerSettings once(SectionParser in) {
+        return new LedgerSettings(
+                in.duration("window", 3_600_000, 60_000, 7 * 24 * 3_600_000L),
+                in.bytes("kept-answer", 4 * 1_024, 0, 512 * 1_024),
+                in.choice("undated-keys", UndatedKeys.KEEP));
+    }
+
     private static String name(SectionParser in, String key) {
         String value = in.required(key);
         return value.isEmpty() ? "missing" : value;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -99,7 +99,12 @@
         ledger.begin(action, Fingerprint.of(routed.request()), routed.deadlineMillis(), reply::complete);
         ActionLedger.Decision decision = reply.join();
         if (decision instanceof ActionLedger.Decision.Run run) {
-            ledger.finish(run.claim(), upstreams.callOnce(snapshot, routed, answer));
+            ActionLedger.Outcome outcome = new ActionLedger.Outcome.Unknown();
+            try {
+                outcome = upstreams.callOnce(snapshot, routed, answer);
+            } finally {
+                ledger.finish(run.claim(), outcome);
+            }
         } else if (decision instanceof ActionLedger.Decision.Repeat repeat) {
             answer.repeat(repeat.answer());
         } else if (decision instanceof ActionLedger.Decision.Refuse refuse) {
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/once/LedgerDriver.java
@@ -0,0 +1,93 @@
+package org.cuminspur.router.internal.once;
+
+import com.codahale.metrics.MetricRegistry;
+import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGeneratorFactory;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.once.ActionLedger;
+import org.cuminspur.once.LedgerEvent;
+import org.cuminspur.once.LedgerSettings;
+import org.cuminspur.once.StoreLedger;
+import org.cuminspur.store.Store;
+import org.cuminspur.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs a ledger over the platform's store: ticks it, counts its events and logs when the store goes or comes back.
+ *
+ * <p>Thread-safe.
+ */
+public final class LedgerDriver implements AutoCloseable {
+    private static final Logger log = LoggerFactory.getLogger("org.cuminspur.state");
+    private static final long STOP_TIMEOUT_MS = 2_000;
+
+    private final StoreLedger ledger;
+    private final MetricRegistry metrics;
+    private final ScheduledExecutorService thread = Executors.newSingleThreadScheduledExecutor(LedgerDriver::daemon);
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean stopping;
+
+    public LedgerDriver(LedgerSettings settings, InstanceId owner, Store store, Clock clock, MetricRegistry metrics) {
+        this.metrics = metrics;
+        ledger = new StoreLedger(
+                settings,
+                owner.value(),
+                store,
+                clock,
+                RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong()),
+                this::count);
+    }
+
+    /** Returns the ledger. */
+    public ActionLedger ledger() {
+        return ledger;
+    }
+
+    /** Starts ticking. */
+    public void start() {
+        thread.scheduleWithFixedDelay(this::tick, 0, StoreLedger.TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Writes what is left to write, within a bound, then stops; call it when no request is in progress. */
+    @Override
+    public void close() {
+        stopping = true;
+        try {
+            if (!drained.await(STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                log.warn("event=once-ends-lost");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        thread.shutdownNow();
+    }
+
+    private void tick() {
+        try {
+            ledger.tick();
+        } catch (RuntimeException e) {
+            log.error("event=once-tick-failed", e);
+        }
+        if (stopping && ledger.idle()) {
+            drained.countDown();
+        }
+    }
+
+    private void count(LedgerEvent event) {
+        metrics.counter("once." + event.label()).inc();
+        if (event == LedgerEvent.STORE_DOWN || event == LedgerEvent.STORE_UP) {
+            log.info("event=once-{}", event.label());
+        }
+    }
+
+    private static Thread daemon(Runnable task) {
+        Thread thread = new Thread(task, "once");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/internal/once/FinishQueue.java
@@ -0,0 +1,121 @@
+package org.cuminspur.internal.once;
+
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.cuminspur.once.LedgerEvent;
+import org.cuminspur.store.StoreFault;
+import org.cuminspur.store.Txn;
+import org.cuminspur.store.TxnResult;
+
+/**
+ * Records how actions ended, several in one write when the store is slower than they end.
+ *
+ * <p>Thread-safe; at most one call to the store is open at a time, and ends that arrive meanwhile form the next write.
+ * Each end is written only over its own claim, so a write may be repeated or take effect late. An end that cannot be
+ * kept is counted as lost: its record stays pending, and repeats are told that the outcome is unknown.
+ */
+final class FinishQueue {
+    private static final int MAX_HELD = 1_024;
+    private static final int MAX_BATCH = 32;
+    private static final int MAX_BATCH_CHARS = 256 * 1_024;
+
+    /** The end of one claim; immutable. */
+    record End(RecordKey key, long modRevision, String value) {}
+
+    private final LedgerParts parts;
+    private final Deque<End> held = new ArrayDeque<>();
+    private boolean busy;
+    private int singles;
+
+    FinishQueue(LedgerParts parts) {
+        this.parts = parts;
+    }
+
+    /** Takes an end and writes it as soon as no other write is open. */
+    void add(End end) {
+        boolean lost;
+        synchronized (this) {
+            lost = held.size() >= MAX_HELD;
+            if (!lost) {
+                held.add(end);
+            }
+        }
+        if (lost) {
+            parts.events().accept(LedgerEvent.FINISH_LOST);
+        } else {
+            tick();
+        }
+    }
+
+    /** Returns whether every end has been written. */
+    synchronized boolean idle() {
+        return held.isEmpty() && !busy;
+    }
+
+    /** Writes the oldest ends, unless a write is open or the store is down. */
+    void tick() {
+        List<End> batch = take();
+        if (!batch.isEmpty()) {
+            parts.store().commit(txn(batch), reply -> written(batch, reply));
+        }
+    }
+
+    private synchronized List<End> take() {
+        List<End> batch = new ArrayList<>();
+        if (busy || parts.health().down()) {
+            return batch;
+        }
+        int limit = singles > 0 ? 1 : MAX_BATCH;
+        int chars = 0;
+        while (!held.isEmpty() && batch.size() < limit && chars < MAX_BATCH_CHARS) {
+            End end = held.remove();
+            chars += end.value().length();
+            batch.add(end);
+        }
+        singles = Math.max(0, singles - batch.size());
+        busy = !batch.isEmpty();
+        return batch;
+    }
+
+    private static Txn txn(List<End> batch) {
+        return new Txn(
+                batch.stream()
+                        .map(end -> new Txn.Compare(end.key().text(), end.modRevision()))
+                        .toList(),
+                batch.stream()
+                        .map(end -> Txn.Put.of(end.key().text(), end.value()))
+                        .toList(),
+                List.of());
+    }
+
+    private void written(List<End> batch, Either<StoreFault, TxnResult> reply) {
+        boolean written = reply.isRight() && reply.get().succeeded();
+        // Alone, an unmet condition means that an earlier write of the same end took effect or the record expired.
+        boolean settled = reply.isRight() && batch.size() == 1;
+        if (written || settled) {
+            batch.forEach(end -> parts.events().accept(LedgerEvent.FINISHED));
+            release();
+            tick();
+            return;
+        }
+        putBack(batch, reply.isRight());
+        if (reply.isRight()) {
+            tick();
+        }
+    }
+
+    private synchronized void release() {
+        busy = false;
+    }
+
+    private synchronized void putBack(List<End> batch, boolean singly) {
+        for (int i = batch.size() - 1; i >= 0; i--) {
+            held.addFirst(batch.get(i));
+        }
+        singles = singly ? batch.size() : singles;
+        busy = false;
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
+++ b/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
@@ -13,6 +13,8 @@
     public static final String CONFIG_FILE = CONFIG + "file/";
     /** Prefix of orders to take out and bring back. */
     public static final String ORDER = "cuminspur/order/";
+    /** Prefix of the records of actions that must run at most once. */
+    public static final String ONCE = "cuminspur/once/";
 
     private StoreKeys() {}
 
