--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
@@ -1,6 +1,7 @@
 package org.cuminspur.pgm;
 
 import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.io.PrintStream;
 import java.util.LinkedHashMap;
@@ -8,6 +9,12 @@
 
 /** Runs one subcommand; exits with 0 when done, 1 when refused or failed, 2 on wrong usage. */
 public final class Main {
+    /** The option that stands before any subcommand. */
+    private static final class Help {
+        @Parameter(names = "--help", description = "Show this help", help = true)
+        private boolean wanted;
+    }
+
     private Main() {}
 
     /** Runs the command line and exits. */
@@ -18,7 +25,9 @@
     /** Runs the command line and returns how it ended. */
     public static ExitCode run(PrintStream out, PrintStream err, String... args) {
         Map<String, Command> commands = commands();
-        JCommander.Builder builder = JCommander.newBuilder().programName("cuminspur");
+        Help help = new Help();
+        JCommander.Builder builder =
+                JCommander.newBuilder().programName("cuminspur").addObject(help);
         commands.forEach(builder::addCommand);
         JCommander commander = builder.build();
         Console console = new Console(out, err);
@@ -29,6 +38,10 @@
             err.println(usage(commander));
             return ExitCode.WRONG_USAGE;
         }
+        if (help.wanted) {
+            out.println(usage(commander));
+            return ExitCode.DONE;
+        }
         Command command = commands.get(commander.getParsedCommand());
         if (command == null) {
             err.println(usage(commander));
--- a/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -2,12 +2,14 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.cuminspur.standin.engine.EngineSettings;
 import org.cuminspur.standin.engine.StandinEngine;
 import org.cuminspur.standin.platform.StandinPlatform;
 import org.cuminspur.standin.service.StandinService;
 
-/** Starts one stand-in as a process of its own and prints the port it listens on. */
+/** Starts stand-ins of one kind as a process of their own and prints the ports they listen on. */
 public final class Main {
     /** The command line's options. */
     private static final class Options {
@@ -20,6 +22,9 @@
         @Parameter(names = "--port", description = "TCP port, 0 for any free one")
         private int port;
 
+        @Parameter(names = "--count", description = "How many to start in this process")
+        private int count = 1;
+
         @Parameter(names = "--name", description = "Name that a service answers with")
         private String name = "service";
 
@@ -43,7 +48,10 @@
                 .addObject(options)
                 .build()
                 .parse(args);
-        System.out.println("listening port=" + start(options));
+        String ports = IntStream.range(0, options.count)
+                .mapToObj(number -> " port" + (number == 0 ? "" : "-" + number) + "=" + start(options))
+                .collect(Collectors.joining());
+        System.out.println("listening" + ports);
     }
 
     private static int start(Options options) {
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/demo/Demo.java
@@ -0,0 +1,22 @@
+package org.cuminspur.standin.demo;
+
+import org.cuminspur.standin.fleet.LocalFleet;
+
+/**
+ * Shows the whole system at work on this machine, one line a step; exits with 1 if any step failed.
+ *
+ * <p>Every process that it started is ended when it ends, also when it is interrupted.
+ */
+public final class Demo {
+    private Demo() {}
+
+    /** Runs the demo; the one argument is the folder with the example service files. */
+    public static void main(String[] args) {
+        LocalFleet fleet = new LocalFleet();
+        Runtime.getRuntime().addShutdownHook(new Thread(fleet::close, "end-processes"));
+        StepList steps = new StepList(System.out);
+        new DemoSteps(fleet, args[0]).addTo(steps);
+        boolean succeeded = steps.run();
+        System.exit(succeeded ? 0 : 1);
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
@@ -38,7 +38,7 @@
                 "-Xmx256m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Xshare:auto",
+                "-Dorg.jboss.logging.provider=slf4j",
                 "-cp",
                 System.getProperty("java.class.path"),
                 mainClass));
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -8,9 +8,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.http.client.HttpAnswer;
 import org.cuminspur.http.client.HttpCall;
@@ -63,6 +65,26 @@
                 Map.of(ListedInstance.HTTP_PORT, process.ports().get("port")));
     }
 
+    /** Starts several upstreams of a service in one process and lists them, spread over failure domains. */
+    public List<ListedInstance> upstreams(String kind, String service, int count, List<String> domains) {
+        Map<String, Integer> ports = start(
+                        service,
+                        "org.cuminspur.standin.Main",
+                        kind,
+                        "--name",
+                        service,
+                        "--count",
+                        Integer.toString(count))
+                .ports();
+        List<ListedInstance> listed = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int port = ports.get(i == 0 ? "port" : "port-" + i);
+            String domain = domains.get(i % domains.size());
+            listed.add(list(service + "-" + (i + 1), service, domain, Map.of(ListedInstance.HTTP_PORT, port)));
+        }
+        return listed;
+    }
+
     /** Starts a router and lists it. */
     public ListedInstance router(String name, String domain) {
         ChildProcess process = start(
@@ -154,6 +176,16 @@
     public void close() {
         processes.values().forEach(ChildProcess::close);
         http.close();
+        removeFiles();
+    }
+
+    private void removeFiles() {
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     private ChildProcess start(String name, String mainClass, String... arguments) {
