--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -1,8 +1,10 @@
 package org.cuminspur.router.internal.caller;
 
 import io.vavr.control.Either;
+import io.vavr.control.Try;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.cuminspur.admission.Admission;
 import org.cuminspur.config.AccountSpec;
@@ -22,6 +24,9 @@
  * <p>Thread-safe. Each call runs on a worker thread and returns when the answer is written.
  */
 public final class RequestPipeline {
+    /** The longest that the end of an answer waits for its record. */
+    private static final long RECORD_WAIT_MS = 500;
+
     private final Supplier<RoutingSnapshot> snapshots;
     private final Admission admission;
     private final ActionLedger ledger;
@@ -99,16 +104,23 @@
         ledger.begin(action, Fingerprint.of(routed.request()), routed.deadlineMillis(), reply::complete);
         ActionLedger.Decision decision = reply.join();
         if (decision instanceof ActionLedger.Decision.Run run) {
-            ActionLedger.Outcome outcome = new ActionLedger.Outcome.Unknown();
-            try {
-                outcome = upstreams.callOnce(snapshot, routed, answer);
-            } finally {
-                ledger.finish(run.claim(), outcome);
-            }
+            send(run.claim(), snapshot, routed, answer);
         } else if (decision instanceof ActionLedger.Decision.Repeat repeat) {
             answer.repeat(repeat.answer());
         } else if (decision instanceof ActionLedger.Decision.Refuse refuse) {
             answer.refuse(refuse.refusal());
         }
     }
+
+    private void send(ActionLedger.Claim claim, RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        ActionLedger.Outcome outcome = new ActionLedger.Outcome.Unknown();
+        CompletableFuture<Void> recorded = new CompletableFuture<>();
+        try {
+            outcome = upstreams.callOnce(snapshot, routed, answer);
+        } finally {
+            ledger.finish(claim, outcome, () -> recorded.complete(null));
+        }
+        // The answer ends when this returns: a caller that has it whole gets it again from any router.
+        Try.run(() -> recorded.get(RECORD_WAIT_MS, TimeUnit.MILLISECONDS));
+    }
 }
--- a/org.cuminspur/src/org/cuminspur/internal/once/FinishQueue.java
+++ b/org.cuminspur/src/org/cuminspur/internal/once/FinishQueue.java
@@ -4,7 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import org.cuminspur.once.LedgerEvent;
 import org.cuminspur.store.StoreFault;
 import org.cuminspur.store.Txn;
@@ -27,6 +30,7 @@
 
     private final LedgerParts parts;
     private final Deque<End> held = new ArrayDeque<>();
+    private final Map<End, Runnable> waiting = new IdentityHashMap<>();
     private boolean busy;
     private int singles;
 
@@ -34,17 +38,13 @@
         this.parts = parts;
     }
 
-    /** Takes an end and writes it as soon as no other write is open. */
-    void add(End end) {
-        boolean lost;
-        synchronized (this) {
-            lost = held.size() >= MAX_HELD;
-            if (!lost) {
-                held.add(end);
-            }
-        }
-        if (lost) {
+    /** Takes an end and writes it as soon as no other write is open; {@code tried} runs after the first try. */
+    void add(End end, Runnable tried) {
+        if (!hold(end, tried)) {
             parts.events().accept(LedgerEvent.FINISH_LOST);
+            tried.run();
+        } else if (parts.health().down()) {
+            tried(List.of(end));
         } else {
             tick();
         }
@@ -63,6 +63,24 @@
         }
     }
 
+    private synchronized boolean hold(End end, Runnable tried) {
+        if (held.size() >= MAX_HELD) {
+            return false;
+        }
+        held.add(end);
+        waiting.put(end, tried);
+        return true;
+    }
+
+    private void tried(List<End> ends) {
+        List<Runnable> actions;
+        synchronized (this) {
+            actions =
+                    ends.stream().map(waiting::remove).filter(Objects::nonNull).toList();
+        }
+        actions.forEach(Runnable::run);
+    }
+
     private synchronized List<End> take() {
         List<End> batch = new ArrayList<>();
         if (busy || parts.health().down()) {
@@ -98,12 +116,14 @@
         if (written || settled) {
             batch.forEach(end -> parts.events().accept(LedgerEvent.FINISHED));
             release();
+            tried(batch);
             tick();
-            return;
-        }
-        putBack(batch, reply.isRight());
-        if (reply.isRight()) {
+        } else if (reply.isRight()) {
+            putBack(batch, true);
             tick();
+        } else {
+            putBack(batch, false);
+            tried(batch);
         }
     }
 
--- a/org.cuminspur/src/org/cuminspur/internal/once/LedgerCore.java
+++ b/org.cuminspur/src/org/cuminspur/internal/once/LedgerCore.java
@@ -80,10 +80,12 @@
     }
 
     /** Tells how a claimed action has ended; a claim that is not held changes nothing. */
-    public void finish(Claim claim, Outcome outcome) {
+    public void finish(Claim claim, Outcome outcome, Runnable tried) {
         Held held = claims.remove(claim.attempt());
         if (held != null) {
-            release(held, outcome);
+            release(held, outcome, tried);
+        } else {
+            tried.run();
         }
     }
 
@@ -105,16 +107,16 @@
     private Decision won(Claim claim, Claiming.Request request, long modRevision) {
         Held held = new Held(request.key(), modRevision, request.pending());
         if (parts.clock().millis() >= request.deadlineMillis()) {
-            release(held, new Outcome.NotSent());
+            release(held, new Outcome.NotSent(), () -> {});
             return Repeats.refuse(ErrorKind.DEADLINE_BEFORE_SEND);
         }
         claims.put(claim.attempt(), held);
         return new Decision.Run(claim);
     }
 
-    private void release(Held held, Outcome outcome) {
+    private void release(Held held, Outcome outcome, Runnable tried) {
         ActionRecord record = held.record().ended(outcome, parts.settings().keptBytes());
-        finishes.add(new FinishQueue.End(held.key(), held.modRevision(), RecordCodec.format(record)));
+        finishes.add(new FinishQueue.End(held.key(), held.modRevision(), RecordCodec.format(record)), tried);
     }
 
     private void ended(Consumer<Decision> reply, Decision decision) {
--- a/org.cuminspur/src/org/cuminspur/once/ActionLedger.java
+++ b/org.cuminspur/src/org/cuminspur/once/ActionLedger.java
@@ -19,8 +19,18 @@
      */
     void begin(ActionId action, String fingerprint, long deadlineMillis, Consumer<Decision> reply);
 
-    /** Tells how an action that was to run has ended. */
-    void finish(Claim claim, Outcome outcome);
+    /**
+     * Tells how an action that was to run has ended.
+     *
+     * @param tried runs once, at once or later and on any thread, when the end is recorded or could not be at the first
+     *     try; a caller whose answer ends after it can repeat its request and get the same answer
+     */
+    void finish(Claim claim, Outcome outcome, Runnable tried);
+
+    /** Tells how an action that was to run has ended, and waits for nothing. */
+    default void finish(Claim claim, Outcome outcome) {
+        finish(claim, outcome, () -> {});
+    }
 
     /**
      * The right to send an action once; immutable.
--- a/org.cuminspur/src/org/cuminspur/once/RefusingLedger.java
+++ b/org.cuminspur/src/org/cuminspur/once/RefusingLedger.java
@@ -12,5 +12,7 @@
     }
 
     @Override
-    public void finish(Claim claim, Outcome outcome) {}
+    public void finish(Claim claim, Outcome outcome, Runnable tried) {
+        tried.run();
+    }
 }
--- a/org.cuminspur/src/org/cuminspur/once/StoreLedger.java
+++ b/org.cuminspur/src/org/cuminspur/once/StoreLedger.java
@@ -42,8 +42,8 @@
     }
 
     @Override
-    public void finish(Claim claim, Outcome outcome) {
-        core.finish(claim, outcome);
+    public void finish(Claim claim, Outcome outcome, Runnable tried) {
+        core.finish(claim, outcome, tried);
     }
 
     /** Goes on with what has to be tried again or done from time to time; call it every {@link #TICK_MS}. */
