--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/EtcdHandlers.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/EtcdHandlers.java
@@ -41,6 +41,7 @@
         table.expire(clock.millis());
         JsonNode request = body(exchange);
         StoreView view = table.range(text(request, "key"), text(request, "range_end"));
+        faults.replies().pass();
         ObjectNode reply = header(view.revision());
         ArrayNode kvs = reply.putArray("kvs");
         view.entries().forEach(entry -> kvs.add(kv(entry)));
@@ -50,6 +51,7 @@
     void txn(HttpServerExchange exchange) throws IOException {
         table.expire(clock.millis());
         TxnResult result = table.commit(txn(body(exchange)));
+        faults.replies().pass();
         if (faults.losesReply()) {
             IoUtils.safeClose(exchange.getConnection());
             return;
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/Faults.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/Faults.java
@@ -1,10 +1,12 @@
 package org.cuminspur.standin.platform;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminspur.standin.Hold;
 
 /** The faults that the stand-in platform is told to show; thread-safe. */
 public final class Faults {
     private final AtomicInteger lostReplies = new AtomicInteger();
+    private final Hold replies = new Hold();
     private volatile boolean outage;
     private volatile long delayMillis;
     private volatile long listLagMillis;
@@ -36,6 +38,11 @@
         listLagMillis = millis;
     }
 
+    /** Keeps back the replies of reads, and of writes that took effect, until it is turned off. */
+    public Hold replies() {
+        return replies;
+    }
+
     /** Loses the replies of the next writes, after they took effect. */
     public void loseReplies(int writes) {
         lostReplies.set(writes);
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
@@ -120,6 +120,9 @@
         if (wanted.has("list_lag_ms")) {
             faults.listLagMillis(wanted.path("list_lag_ms").asLong());
         }
+        if (wanted.has("hold_replies")) {
+            faults.replies().on(wanted.path("hold_replies").asBoolean());
+        }
         if (wanted.has("lose_replies")) {
             faults.loseReplies(wanted.path("lose_replies").asInt());
         }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/service/StandinService.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/service/StandinService.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.cuminspur.standin.Hold;
 import org.cuminspur.standin.Pace;
 import org.xnio.IoUtils;
 
@@ -30,6 +31,7 @@
 
     private final String name;
     private final Map<String, AtomicInteger> executions = new ConcurrentHashMap<>();
+    private final Hold hold = new Hold();
     private final AtomicBoolean breakNext = new AtomicBoolean();
     private final AtomicInteger total = new AtomicInteger();
     private volatile long delayMillis;
@@ -40,6 +42,7 @@
         RoutingHandler control = new RoutingHandler()
                 .post("/faults", this::setFaults)
                 .get("/executions", this::sendExecutions)
+                .get("/await/{key}", this::awaitExecution)
                 .setFallbackHandler(this::execute);
         server = Undertow.builder()
                 .addHttpListener(port, host)
@@ -82,6 +85,8 @@
         int count = key == null
                 ? 0
                 : executions.computeIfAbsent(key, absent -> new AtomicInteger()).incrementAndGet();
+        executed(key);
+        hold.pass();
         Pace.pause(delayMillis);
         if (breakNext.compareAndSet(true, false)) {
             IoUtils.safeClose(exchange.getConnection());
@@ -98,6 +103,24 @@
         exchange.getResponseSender().send(answer.toString());
     }
 
+    private void executed(String key) {
+        if (key != null) {
+            synchronized (executions) {
+                executions.notifyAll();
+            }
+        }
+    }
+
+    private void awaitExecution(HttpServerExchange exchange) throws InterruptedException {
+        String key = exchange.getQueryParameters().get("key").getFirst();
+        synchronized (executions) {
+            while (executions(key) == 0) {
+                executions.wait();
+            }
+        }
+        exchange.getResponseSender().send("executed\n");
+    }
+
     private void sendExecutions(HttpServerExchange exchange) {
         ObjectNode node = JSON.createObjectNode();
         new TreeMap<>(executions).forEach((key, count) -> node.put(key, count.get()));
@@ -109,6 +132,9 @@
         if (wanted.has("delay_ms")) {
             delayMillis(wanted.path("delay_ms").asLong());
         }
+        if (wanted.has("hold")) {
+            hold.on(wanted.path("hold").asBoolean());
+        }
         if (wanted.path("break_next").asBoolean()) {
             breakNext();
         }
--- a/org.cuminspur.testing/src/org/cuminspur/testing/KeyValueTable.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/KeyValueTable.java
@@ -82,6 +82,9 @@
                 .filter(entry -> entry.getValue().endMillis() <= now)
                 .map(Map.Entry::getKey)
                 .toList();
+        if (lapsed.isEmpty()) {
+            return;
+        }
         leases.keySet().removeAll(lapsed);
         List<String> keys = rows.values().stream()
                 .filter(row -> lapsed.contains(row.lease()))
