Follow the instance list by a watch instead of reading it whole

Cause: at the target the list has 960 instances; reading it every 500 ms costs each router several hundred KB/s against a control budget of 2 KB/s. Ruled out: a longer interval (1 KB/s only at one reading in five minutes, and then leaving instances are seen minutes late). Change: list once, then watch from its resource version, as the discovery API offers; bytes flow only when an instance changes. Conclusion: the list's cost follows the churn, not the size of the fleet.

--- a/org.cuminspur.http/src/org/cuminspur/http/internal/platform/EtcdWatch.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/platform/EtcdWatch.java
@@ -1,7 +1,7 @@
 package org.cuminspur.http.internal.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vavr.control.Either;
-import java.io.ByteArrayOutputStream;
 import java.util.function.Consumer;
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.HttpCall;
@@ -20,7 +20,7 @@
     private final HttpClient http;
     private final Consumer<StoreView> changes;
     private final Runnable ended;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final JsonLines lines = new JsonLines(this::message);
     private volatile boolean closed;
     private volatile HttpStream open;
 
@@ -54,7 +54,7 @@
             while (!closed && stream.status() == 200) {
                 Either<CallFault, byte[]> piece = stream.next(WAIT_MS);
                 if (piece.isRight() && piece.get().length > 0) {
-                    take(piece.get());
+                    lines.take(piece.get());
                 } else {
                     return;
                 }
@@ -62,17 +62,10 @@
         }
     }
 
-    private void take(byte[] piece) {
-        for (byte b : piece) {
-            if (b == '\n') {
-                EtcdJson.parse(line.toByteArray())
-                        .map(EtcdJson::watched)
-                        .filter(view -> !view.entries().isEmpty())
-                        .forEach(changes);
-                line.reset();
-            } else {
-                line.write(b);
-            }
+    private void message(JsonNode json) {
+        StoreView view = EtcdJson.watched(json);
+        if (!view.entries().isEmpty()) {
+            changes.accept(view);
         }
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -5,7 +5,7 @@
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
-import org.cuminspur.http.platform.InstanceList;
+import org.cuminspur.http.platform.InstanceWatcher;
 import org.cuminspur.once.RefusingLedger;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.router.internal.caller.CallerServer;
@@ -36,8 +36,12 @@
         RouterSettings.Platform platform = settings.platform();
         http = new HttpClient(clock, IO_THREADS, platform.timeoutMillis());
         store = new EtcdStore(http, platform.store(), platform.timeoutMillis());
-        InstanceList instances = new InstanceList(http, platform.instances(), platform.timeoutMillis());
-        control = new ControlLoop(settings.self(), clock, store, instances, metrics);
+        control = new ControlLoop(
+                settings.self(),
+                clock,
+                store,
+                listener -> new InstanceWatcher(http, platform.instances(), platform.timeoutMillis(), listener),
+                metrics);
         peers = new PeerLinks(
                 settings.self().id(),
                 settings.host(),
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -4,20 +4,23 @@
 import com.codahale.metrics.Timer;
 import io.vavr.control.Try;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.cuminspur.control.ControlCore;
 import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.ListedInstance;
 import org.cuminspur.control.Self;
 import org.cuminspur.control.Tables;
-import org.cuminspur.http.platform.InstanceList;
+import org.cuminspur.http.platform.InstanceWatcher;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.routing.RoutingSnapshot;
 import org.cuminspur.store.Store;
@@ -33,19 +36,27 @@
 public final class ControlLoop implements AutoCloseable {
     private static final Logger log = LoggerFactory.getLogger(ControlLoop.class);
     private static final long TICK_MS = 100;
-    private static final long LIST_INTERVAL_MS = 500;
 
     private final Clock clock;
-    private final InstanceList instances;
+    private final InstanceWatcher instances;
     private final ControlCore core;
     private final OutputRunner outputs;
     private final Timer ticks;
     private final ScheduledExecutorService thread = executor("control");
-    private final ScheduledExecutorService lister = executor("instance-list");
 
-    public ControlLoop(Self self, Clock clock, Store store, InstanceList instances, MetricRegistry metrics) {
+    /**
+     * Prepares the loop.
+     *
+     * @param instances makes the watcher of the platform's list from what takes the list
+     */
+    public ControlLoop(
+            Self self,
+            Clock clock,
+            Store store,
+            Function<Consumer<List<ListedInstance>>, InstanceWatcher> instances,
+            MetricRegistry metrics) {
         this.clock = clock;
-        this.instances = instances;
+        this.instances = instances.apply(listed -> post(new ControlInput.InstancesListed(listed)));
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong());
         core = new ControlCore(self, random);
         outputs = new OutputRunner(store, core, this::post);
@@ -56,7 +67,7 @@
     public void start(PeerLinks peers) {
         outputs.peers(peers);
         thread.scheduleAtFixedRate(() -> guarded(this::tick), 0, TICK_MS, TimeUnit.MILLISECONDS);
-        lister.scheduleWithFixedDelay(() -> guarded(this::list), 0, LIST_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        instances.start();
     }
 
     /** Hands an input to the core; does nothing after {@link #close}. */
@@ -73,15 +84,22 @@
         return core.snapshot();
     }
 
-    /** Reads the tables on the control thread and waits for the result. */
+    /**
+     * Reads the tables on the control thread and waits for the result.
+     *
+     * <p>A snapshot is published first, so that what is read is in force for traffic too.
+     */
     public <T> Try<T> read(Function<Tables, T> reader) {
-        Callable<T> task = () -> reader.apply(core.tables());
+        Callable<T> task = () -> {
+            core.publish();
+            return reader.apply(core.tables());
+        };
         return Try.of(() -> thread.submit(task)).mapTry(Future::get);
     }
 
     @Override
     public void close() {
-        lister.shutdownNow();
+        instances.close();
         thread.shutdownNow();
     }
 
@@ -91,10 +109,6 @@
         }
     }
 
-    private void list() {
-        instances.read().forEach(listed -> post(new ControlInput.InstancesListed(listed)));
-    }
-
     private static void guarded(Runnable step) {
         try {
             step.run();
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/InstanceTable.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/InstanceTable.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.cuminspur.control.ListedInstance;
@@ -16,7 +18,8 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MAX_VERSIONS = 1_000;
 
-    private record Version(long sinceMillis, Map<String, JsonNode> slices) {}
+    /** One change of the list; immutable. */
+    private record Version(long number, long sinceMillis, Map<String, JsonNode> slices) {}
 
     private final Clock clock;
     private final Faults faults;
@@ -25,7 +28,7 @@
     InstanceTable(Clock clock, Faults faults) {
         this.clock = clock;
         this.faults = faults;
-        versions.add(new Version(0, Map.of()));
+        versions.add(new Version(1, 0, Map.of()));
     }
 
     /** Lists an instance, or replaces its line. */
@@ -47,19 +50,64 @@
     }
 
     synchronized JsonNode list() {
+        Version seen = seen();
+        ObjectNode root = JSON.createObjectNode().put("kind", "EndpointSliceList");
+        root.putObject("metadata").put("resourceVersion", Long.toString(seen.number()));
+        ArrayNode items = root.putArray("items");
+        seen.slices().values().forEach(items::add);
+        return root;
+    }
+
+    /** Returns the newest version that is not too young to be shown. */
+    synchronized long version() {
+        return seen().number();
+    }
+
+    /** Returns the watch events that lead from one version to another. */
+    synchronized List<JsonNode> events(long after, long upTo) {
+        Map<String, JsonNode> from = slices(after);
+        Map<String, JsonNode> to = slices(upTo);
+        List<JsonNode> events = new ArrayList<>();
+        to.forEach((name, slice) -> {
+            if (!slice.equals(from.get(name))) {
+                events.add(event(from.containsKey(name) ? "MODIFIED" : "ADDED", slice, upTo));
+            }
+        });
+        from.forEach((name, slice) -> {
+            if (!to.containsKey(name)) {
+                events.add(event("DELETED", slice, upTo));
+            }
+        });
+        return events;
+    }
+
+    private Version seen() {
         long asOf = clock.millis() - faults.listLagMillis();
         Version seen = versions.getFirst();
         for (Version version : versions) {
             seen = version.sinceMillis() <= asOf ? version : seen;
         }
-        ObjectNode root = JSON.createObjectNode().put("kind", "EndpointSliceList");
-        ArrayNode items = root.putArray("items");
-        seen.slices().values().forEach(items::add);
-        return root;
+        return seen;
+    }
+
+    private Map<String, JsonNode> slices(long number) {
+        return versions.stream()
+                .filter(version -> version.number() == number)
+                .findFirst()
+                .map(Version::slices)
+                .orElse(Map.of());
+    }
+
+    private static JsonNode event(String type, JsonNode slice, long version) {
+        ObjectNode object = slice.deepCopy();
+        ((ObjectNode) object.path("metadata")).put("resourceVersion", Long.toString(version));
+        ObjectNode event = JSON.createObjectNode().put("type", type);
+        event.set("object", object);
+        return event;
     }
 
     private void add(Map<String, JsonNode> slices) {
-        versions.add(new Version(clock.millis(), slices));
+        versions.add(new Version(versions.getLast().number() + 1, clock.millis(), slices));
         if (versions.size() > MAX_VERSIONS) {
             versions.removeFirst();
         }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
@@ -11,6 +11,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -29,6 +30,7 @@
 public final class StandinPlatform implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int THREADS = 128;
+    private static final long WATCH_POLL_MS = 50;
 
     private final Clock clock = Clock.system();
     private final KeyValueTable table = new KeyValueTable();
@@ -96,6 +98,24 @@
         server.stop();
     }
 
+    private void instances(HttpServerExchange exchange) throws IOException {
+        if (!exchange.getQueryParameters().containsKey("watch")) {
+            send(exchange, instances.list());
+            return;
+        }
+        long version = Long.parseLong(parameter(exchange, "resourceVersion"));
+        exchange.getOutputStream().flush();
+        while (true) {
+            long newest = instances.version();
+            for (JsonNode event : instances.events(version, newest)) {
+                exchange.getOutputStream().write((event + "\n").getBytes(StandardCharsets.UTF_8));
+            }
+            exchange.getOutputStream().flush();
+            version = newest;
+            Pace.pause(WATCH_POLL_MS);
+        }
+    }
+
     private HttpHandler store(HttpHandler handler) {
         return exchange -> {
             calls.computeIfAbsent(exchange.getRequestPath(), key -> new LongAdder())
