--- a/org.cuminspur.router/src/org/cuminspur/router/internal/operator/StatusJson.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/operator/StatusJson.java
@@ -14,8 +14,7 @@
     private StatusJson() {}
 
     static String of(ControlLoop control) {
-        boolean ready = control.snapshot().ready();
-        return control.read(tables -> write(tables, ready)).getOrElse("{}");
+        return control.read(tables -> write(tables, control.snapshot().ready())).getOrElse("{}");
     }
 
     private static String write(Tables tables, boolean ready) {
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -42,10 +42,15 @@
     public void tick(long now, Consumer<ControlOutput> out) {
         Turn turn = new Turn(now, out);
         systems.forEach(system -> system.tick(turn));
+        publish();
+    }
+
+    /** Publishes a snapshot of the tables as they are now. */
+    public void publish() {
         snapshot = snapshots.build(tables);
     }
 
-    /** Returns the snapshot of the latest tick. */
+    /** Returns the newest snapshot. */
     public RoutingSnapshot snapshot() {
         return snapshot;
     }
