--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/LogSetup.java
@@ -0,0 +1,21 @@
+package org.cuminspur.http;
+
+/** Chooses a process's log settings; must run before anything is logged. Stateless. */
+public final class LogSetup {
+    private static final String LOGBACK_FILE = "logback.configurationFile";
+    private static final String UNDERTOW_LOGS = "org.jboss.logging.provider";
+
+    private LogSetup() {}
+
+    /** Uses a Logback file on the class path, unless the command line names another. */
+    public static void use(String logbackFile) {
+        setDefault(LOGBACK_FILE, logbackFile);
+        setDefault(UNDERTOW_LOGS, "slf4j");
+    }
+
+    private static void setDefault(String property, String value) {
+        if (System.getProperty(property) == null) {
+            System.setProperty(property, value);
+        }
+    }
+}
--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.cuminspur.http.LogSetup;
 
 /** Runs one subcommand; exits with 0 when done, 1 when refused or failed, 2 on wrong usage. */
 public final class Main {
@@ -19,6 +20,7 @@
 
     /** Runs the command line and exits. */
     public static void main(String[] args) {
+        LogSetup.use("cuminspur-logback.xml");
         System.exit(run(System.out, System.err, args).value());
     }
 
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholePathTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholePathTest.java
@@ -68,6 +68,7 @@
     @Test
     public void publishedFilesAreInForceOnAllRouters() {
         assertEquals(run("publish", services.toString()), "revision 1 is in force on 2 of 2 instances\n");
+        fleet.process("router-1").awaitLine(line -> line.contains("event=revision-applied 1 "));
     }
 
     @Test(dependsOnMethods = "publishedFilesAreInForceOnAllRouters")
--- a/org.cuminspur.router/src/org/cuminspur/router/Main.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/Main.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.cuminspur.config.ConfigFault;
+import org.cuminspur.http.LogSetup;
 
 /** Starts a router process; exits with 1 on bad settings and 2 on wrong usage. */
 public final class Main {
@@ -31,6 +32,7 @@
 
     /** Runs the process until it is told to stop. */
     public static void main(String[] args) throws IOException {
+        LogSetup.use("cuminspurd-logback.xml");
         Options options = new Options();
         JCommander commander = JCommander.newBuilder()
                 .programName("cuminspurd")
--- a/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.cuminspur.http.LogSetup;
 import org.cuminspur.standin.engine.EngineSettings;
 import org.cuminspur.standin.engine.StandinEngine;
 import org.cuminspur.standin.platform.StandinPlatform;
@@ -42,6 +43,7 @@
 
     /** Runs until the process is ended. */
     public static void main(String[] args) {
+        LogSetup.use("standin-logback.xml");
         Options options = new Options();
         JCommander.newBuilder()
                 .programName("standin")
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
@@ -38,7 +38,6 @@
                 "-Xmx256m",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
-                "-Dorg.jboss.logging.provider=slf4j",
                 "-cp",
                 System.getProperty("java.class.path"),
                 mainClass));
@@ -61,6 +60,11 @@
         return name;
     }
 
+    /** Returns the process's id. */
+    public long pid() {
+        return process.pid();
+    }
+
     /** Returns the ports in the line that the process prints once it listens. */
     public Map<String, Integer> ports() {
         String line = awaitLine(text -> text.startsWith("listening "));
