--- a/org.cuminspur.http/src/org/cuminspur/http/client/LoadHeader.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/LoadHeader.java
@@ -16,6 +16,7 @@
     /** Name of the header. */
     public static final String NAME = "endpoint-load-metrics";
 
+    private static final double MAX_COUNT = 1_000_000;
     private static final String JSON_FORM = "JSON ";
 
     private LoadHeader() {}
@@ -25,7 +26,7 @@
         return Option.ofOptional(answer.header(NAME)).flatMap(LoadHeader::parse);
     }
 
-    /** Returns the report in a header's value, or none if it is malformed. */
+    /** Returns the report in a header's value, or none if it is malformed or out of bounds. */
     public static Option<LoadReport> parse(String value) {
         if (!value.startsWith(JSON_FORM)) {
             return Option.none();
@@ -34,7 +35,17 @@
         return EtcdJson.parse(json)
                 .map(node -> node.path("named_metrics"))
                 .filter(metrics -> metrics.path("in_progress").isNumber())
-                .map(LoadHeader::report);
+                .map(LoadHeader::report)
+                .filter(LoadHeader::isPlausible);
+    }
+
+    /** A report out of bounds would draw all work to its upstream or drive all away. */
+    private static boolean isPlausible(LoadReport report) {
+        return isPlausible(report.inProgress()) && isPlausible(report.slots()) && report.incarnation() >= 0;
+    }
+
+    private static boolean isPlausible(double count) {
+        return count >= 0 && count <= MAX_COUNT;
     }
 
     private static LoadReport report(JsonNode metrics) {
