--- a/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -32,6 +32,9 @@
         @Parameter(names = "--cold-ms", description = "How long an engine is cold")
         private long coldMillis;
 
+        @Parameter(names = "--slots", description = "Requests that an engine serves at the same time")
+        private int slots = EngineSettings.QUICK.slots();
+
         @Parameter(names = "--answer-tokens", description = "Tokens of an engine's answer")
         private int answerTokens = EngineSettings.QUICK.answerTokens();
 
@@ -68,7 +71,7 @@
     private static EngineSettings engine(Options options) {
         EngineSettings quick = EngineSettings.QUICK;
         return new EngineSettings(
-                quick.slots(),
+                options.slots,
                 quick.cacheTokens(),
                 quick.promptTokenMicros(),
                 options.answerTokenMillis,
