--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/OnceCost.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/OnceCost.java
@@ -29,12 +29,12 @@
  */
 public final class OnceCost {
     private static final long START_MS = 1_800_000_000_000L;
-    private static final long WINDOW_MS = 60_000;
+    private static final long WINDOW_MS = 600_000;
     private static final long SERVICE_MS = 20;
     /** Longer than the window and its margin, so that old records are deleted as fast as new ones are written. */
-    private static final long WARM_UP_MS = 480_000;
+    private static final long WARM_UP_MS = 1_020_000;
 
-    private static final long MEASURED_MS = 120_000;
+    private static final long MEASURED_MS = 180_000;
     private static final int SEED = 1;
 
     private final VirtualTime time = new VirtualTime(START_MS);
