--- a/org.cuminspur.test/tst/org/cuminspur/once/OnceSchedule.java
+++ b/org.cuminspur.test/tst/org/cuminspur/once/OnceSchedule.java
@@ -20,9 +20,9 @@
     private static final int ACTIONS = 4;
     private static final int REPEATS = 5;
     private static final int EXPIRING_ACTIONS = 6;
-    private static final int CLOCK_MOVES = 8;
+    private static final int CLOCK_MOVES = 20;
     private static final long MAX_SKEW_MS = 900_000;
-    private static final long FAULTY_MS = 60_000;
+    private static final long FAULTY_MS = 200_000;
     private static final long SETTLE_MS = 150_000;
     private static final long GAP_MS = 7_000;
 
--- a/org.cuminspur.testing/src/org/cuminspur/testing/once/OnceFleet.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/once/OnceFleet.java
@@ -102,7 +102,8 @@
         if (repeats > 0) {
             time.after(REPEAT_AFTER_MS, () -> {
                 if (mayRepeat(request)) {
-                    persist(anyRouter(), action, fingerprint, repeats - 1);
+                    long wait = request.refusal().get().retryAfterMillis() - REPEAT_AFTER_MS;
+                    time.after(wait, () -> persist(anyRouter(), action, fingerprint, repeats - 1));
                 } else if (request.told().isEmpty()) {
                     time.after(PATIENCE_MS, () -> persist(anyRouter(), action, fingerprint, repeats - 1));
                 }
--- a/org.cuminspur/src/org/cuminspur/internal/once/Sweeper.java
+++ b/org.cuminspur/src/org/cuminspur/internal/once/Sweeper.java
@@ -24,6 +24,7 @@
     /** The floor rises by this share of the window at a time. */
     private static final int STEPS_PER_WINDOW = 12;
 
+    private static final int MAX_STEPS_AT_ONCE = 2;
     private static final int MAX_DELETES = 100;
     private static final int SECONDS_PER_MARK = 32;
 
@@ -59,12 +60,19 @@
     }
 
     private void look(Either<StoreFault, Floor.Version> reply, long now) {
-        long wanted = now - parts.settings().windowMillis() - MARGIN_MS;
-        if (reply.isLeft() || wanted - reply.get().millis() < stepMillis) {
+        long oldest = now - parts.settings().windowMillis();
+        if (reply.isRight() && reply.get().millis() > oldest) {
+            parts.events().accept(LedgerEvent.FLOOR_AHEAD);
+        }
+        if (reply.isLeft() || oldest - MARGIN_MS - reply.get().millis() < stepMillis) {
             free();
             return;
         }
         Floor.Version old = reply.get();
+        // A router whose clock is far ahead must not be able to refuse every key of the fleet at one stroke.
+        long wanted = old.modRevision() == 0
+                ? oldest - MARGIN_MS
+                : Math.min(oldest - MARGIN_MS, old.millis() + MAX_STEPS_AT_ONCE * stepMillis);
         List<Txn.Put> puts = old.modRevision() == 0
                 ? List.of(put(RecordKey.FLOOR, wanted), put(RecordKey.SWEPT, wanted / 1_000))
                 : List.of(put(RecordKey.FLOOR, wanted));
--- a/org.cuminspur/src/org/cuminspur/once/LedgerEvent.java
+++ b/org.cuminspur/src/org/cuminspur/once/LedgerEvent.java
@@ -24,6 +24,8 @@
     FINISH_LOST,
     /** Records past the window were deleted. */
     SWEPT,
+    /** The floor refuses keys that this router's clock takes for young: a clock is wrong. */
+    FLOOR_AHEAD,
     /** The store stopped answering. */
     STORE_DOWN,
     /** The store answers again. */
