Wait longer for the record of an answer's end

A store under load can take longer than 500 ms; the wait ends anyway as soon as the write has failed once, so only a slow store makes use of the bound.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -25,7 +25,7 @@
  */
 public final class RequestPipeline {
     /** The longest that the end of an answer waits for its record. */
-    private static final long RECORD_WAIT_MS = 500;
+    private static final long RECORD_WAIT_MS = 1_500;
 
     private final Supplier<RoutingSnapshot> snapshots;
     private final Admission admission;
