Decide retries from the run-state and close connections that cannot be trusted

Cause: the request loop kept only its last failure, so a request that may have run at one upstream was refused as "not run" when the next could not be reached. org.cuminspur.retry keeps the run-state of all attempts, a retry budget per client account and the deadline; it has no sockets and no clock of its own.

The client had four faults found by reading: a reader that emptied the queue just before reading paused was never woken; a timed-out call could close a connection that had gone back to the pool and served another call; a connection went back although its request was still being written; a body that ends with the connection counted as whole. Deciding on the input-output thread removes the second and third; the first looks again after the mark is set.

--- a/org.cuminspur.http/src/org/cuminspur/http/client/HttpClient.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/HttpClient.java
@@ -60,14 +60,19 @@
 
     /** Sends a request and waits until its answer begins. */
     public Either<CallFault, HttpStream> open(HttpCall call, long timeoutMillis) {
+        return open(call, timeoutMillis, new Cancellation());
+    }
+
+    /** Sends a request and waits until its answer begins; cancelling closes the connection, also after that. */
+    public Either<CallFault, HttpStream> open(HttpCall call, long timeoutMillis, Cancellation cancellation) {
         long deadline = clock.millis() + timeoutMillis;
         ConnectionPool.Address address = new ConnectionPool.Address(call.host(), call.port());
         ClientConnection pooled = call.freshConnection() ? null : pool.take(address);
         if (pooled != null) {
-            return exchange(pooled, call, address, deadline);
+            return exchange(pooled, call, deadline, cancellation);
         }
         return connect(call, Math.min(connectTimeoutMillis, timeoutMillis))
-                .flatMap(connection -> exchange(connection, call, address, deadline));
+                .flatMap(connection -> exchange(connection, call, deadline, cancellation));
     }
 
     /** Sends a request and waits for its whole answer. */
@@ -99,8 +104,10 @@
     }
 
     private Either<CallFault, HttpStream> exchange(
-            ClientConnection connection, HttpCall call, ConnectionPool.Address address, long deadline) {
+            ClientConnection connection, HttpCall call, long deadline, Cancellation cancellation) {
+        ConnectionPool.Address address = new ConnectionPool.Address(call.host(), call.port());
         ClientExchangeStream stream = new ClientExchangeStream(connection, () -> pool.give(address, connection));
+        cancellation.onCancel(stream::close);
         return stream.start(call, Math.max(1, deadline - clock.millis()));
     }
 
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/BodyQueue.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/BodyQueue.java
@@ -23,35 +23,45 @@
     private static final byte[] BROKEN = new byte[0];
 
     private final ClientConnection connection;
-    private final Runnable giveBack;
+    private final Runnable completed;
     private final BlockingQueue<byte[]> pieces = new LinkedBlockingQueue<>();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean paused = new AtomicBoolean();
-    private volatile boolean complete;
     private StreamSourceChannel channel;
+    private boolean endIsMarked;
 
-    BodyQueue(ClientConnection connection, Runnable giveBack) {
+    /**
+     * Makes a queue.
+     *
+     * @param completed runs on the input-output thread once the whole body was received
+     */
+    BodyQueue(ClientConnection connection, Runnable completed) {
         this.connection = connection;
-        this.giveBack = giveBack;
+        this.completed = completed;
     }
 
-    /** Starts reading; called on the input-output thread. */
-    void start(StreamSourceChannel source) {
+    /**
+     * Starts reading; called on the input-output thread.
+     *
+     * @param endIsMarked whether the end of the body can be told from a broken connection
+     */
+    void start(StreamSourceChannel source, boolean endIsMarked) {
         channel = source;
+        this.endIsMarked = endIsMarked;
         channel.getReadSetter().set(readable -> read());
         read();
     }
 
+    /** Ends a body that has no bytes; called on the input-output thread. */
+    void endEmpty() {
+        end(END);
+    }
+
     /** Marks the body as broken unless it has ended. */
     void fail() {
         end(BROKEN);
     }
 
-    /** Returns whether the whole body was received. */
-    boolean complete() {
-        return complete;
-    }
-
     /** Waits for the next piece; an empty piece is the end. */
     Either<CallFault, byte[]> next(long timeoutMillis) {
         try {
@@ -88,9 +98,7 @@
         ByteBuffer buffer = ByteBuffer.allocate(PIECE_BYTES);
         try {
             while (!ended.get()) {
-                if (pieces.size() >= MAX_WAITING) {
-                    channel.suspendReads();
-                    paused.set(true);
+                if (pieces.size() >= MAX_WAITING && pause()) {
                     return;
                 }
                 buffer.clear();
@@ -106,11 +114,18 @@
         }
     }
 
+    /** Returns whether reading pauses; looks again after the mark is set, since the reader may have emptied the queue. */
+    private boolean pause() {
+        channel.suspendReads();
+        paused.set(true);
+        return pieces.size() >= MAX_WAITING / 2 || !paused.compareAndSet(true, false);
+    }
+
     private void take(ByteBuffer buffer, int count) {
         if (count < 0) {
-            complete = true;
-            giveBack.run();
-            end(END);
+            if (end(endIsMarked ? END : BROKEN)) {
+                completed.run();
+            }
             return;
         }
         byte[] piece = new byte[count];
@@ -118,9 +133,11 @@
         pieces.add(piece);
     }
 
-    private void end(byte[] mark) {
-        if (ended.compareAndSet(false, true)) {
+    private boolean end(byte[] mark) {
+        boolean first = ended.compareAndSet(false, true);
+        if (first) {
             pieces.add(mark);
         }
+        return first;
     }
 }
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -7,10 +7,12 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -31,18 +33,28 @@
  * hands over.
  */
 public final class ClientExchangeStream implements HttpStream {
+    private static final Set<Integer> WITHOUT_BODY = Set.of(StatusCodes.NO_CONTENT, StatusCodes.NOT_MODIFIED);
+
     private final ClientConnection connection;
+    private final Runnable giveBack;
     private final BodyQueue body;
     private final CompletableFuture<ClientResponse> response = new CompletableFuture<>();
 
+    /** The three below are used on the input-output thread only. */
+    private boolean head;
+
+    private boolean requestWritten;
+    private boolean released;
+
     public ClientExchangeStream(ClientConnection connection, Runnable giveBack) {
         this.connection = connection;
-        this.body = new BodyQueue(connection, giveBack);
+        this.giveBack = giveBack;
+        this.body = new BodyQueue(connection, this::bodyCompleted);
     }
 
     /** Sends the request and waits until its answer begins. */
     public Either<CallFault, HttpStream> start(HttpCall call, long timeoutMillis) {
-        connection.getIoThread().execute(() -> send(call));
+        connection.getIoThread().execute(() -> trySend(call));
         try {
             response.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return Either.right(this);
@@ -83,12 +95,36 @@
 
     @Override
     public void close() {
-        if (!body.complete()) {
-            connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+        connection.getIoThread().execute(this::closeUnlessReleased);
+    }
+
+    /** Decides on the input-output thread, since the connection may have gone back and serve another call by now. */
+    private void closeUnlessReleased() {
+        if (!released) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Gives the connection back, unless the answer came before the request was sent in whole. */
+    private void bodyCompleted() {
+        if (requestWritten && !released) {
+            released = true;
+            giveBack.run();
+        } else {
+            closeUnlessReleased();
+        }
+    }
+
+    private void trySend(HttpCall call) {
+        try {
+            send(call);
+        } catch (RuntimeException e) {
+            fail(new IOException(e));
         }
     }
 
     private void send(HttpCall call) {
+        head = call.method().equals("HEAD");
         ClientRequest request = new ClientRequest()
                 .setMethod(HttpString.tryFromString(call.method()))
                 .setPath(call.path());
@@ -123,20 +159,34 @@
                 return;
             }
             channel.suspendWrites();
+            requestWritten = true;
         } catch (IOException e) {
             fail(e);
         }
     }
 
     private void answered(ClientExchange exchange) {
-        body.start(exchange.getResponseChannel());
-        response.complete(exchange.getResponse());
+        ClientResponse answer = exchange.getResponse();
+        if (WITHOUT_BODY.contains(answer.getResponseCode())) {
+            // A length in such an answer is not that of a body, so the connection's state cannot be trusted.
+            body.endEmpty();
+            closeUnlessReleased();
+        } else {
+            body.start(exchange.getResponseChannel(), endIsMarked(answer));
+        }
+        response.complete(answer);
+    }
+
+    private boolean endIsMarked(ClientResponse answer) {
+        return head
+                || answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
     }
 
     private void fail(IOException cause) {
         response.completeExceptionally(cause);
         body.fail();
-        IoUtils.safeClose(connection);
+        closeUnlessReleased();
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
--- a/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
+++ b/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
@@ -37,6 +37,7 @@
     UPSTREAM_UNREACHABLE(502, NOT_RUN, true, "no connection to an upstream could be made"),
     UPSTREAM_BROKE(502, UNKNOWN, false, "the upstream's connection broke before a whole answer"),
     UPSTREAM_REFUSED(503, NOT_RUN, true, "the upstream refused the request"),
+    UPSTREAM_BUSY(503, UNKNOWN, true, "the upstream answered that it is busy, not that the request was not run"),
     INTERNAL(500, UNKNOWN, false, "an internal error");
 
     private final int status;
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
@@ -0,0 +1,43 @@
+package org.cuminspur.retry;
+
+/** What can happen to an attempt to serve a request at an upstream; each kind is an immutable record. */
+public sealed interface AttemptEvent {
+    /** No upstream can take the request. */
+    record NoUpstream() implements AttemptEvent {}
+
+    /** No connection could be made, so no byte of the request was sent. */
+    record NotConnected() implements AttemptEvent {}
+
+    /** The connection broke after the request was sent in part or whole, before an answer began. */
+    record Broken() implements AttemptEvent {}
+
+    /** The deadline passed after the request was sent, before an answer began. */
+    record TimedOut() implements AttemptEvent {}
+
+    /** An answer began. */
+    record Answered() implements AttemptEvent {}
+
+    /**
+     * The upstream answered that it cannot serve the request now, with status 429 or 503.
+     *
+     * @param notRun whether the upstream states that the request was not run
+     * @param retryAfterMillis when it asks to come back
+     */
+    record Refused(boolean notRun, long retryAfterMillis) implements AttemptEvent {}
+
+    /**
+     * The answer broke off after it began.
+     *
+     * @param resumable whether the upstream can continue exactly where the caller's part of the answer ends
+     */
+    record Cut(boolean resumable) implements AttemptEvent {}
+
+    /** The deadline passed after the answer began. */
+    record Late() implements AttemptEvent {}
+
+    /** The whole answer was passed on. */
+    record Whole() implements AttemptEvent {}
+
+    /** The caller went away. */
+    record CallerGone() implements AttemptEvent {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/retry/NextStep.java
@@ -0,0 +1,24 @@
+package org.cuminspur.retry;
+
+import org.cuminspur.errors.Refusal;
+
+/** What to do with a request after an event; each kind is an immutable record. */
+public sealed interface NextStep {
+    /** Send it to an upstream that it has not failed at. */
+    record Send() implements NextStep {}
+
+    /** Continue its event stream at the upstream that began it. */
+    record Resume() implements NextStep {}
+
+    /** Pass the upstream's answer on. */
+    record Relay() implements NextStep {}
+
+    /** Answer with a refusal; no byte of an answer has reached the caller. */
+    record Refuse(Refusal refusal) implements NextStep {}
+
+    /** Mark the answer, part of which has reached the caller, as incomplete. */
+    record BreakOff(Refusal refusal) implements NextStep {}
+
+    /** Nothing is left to do: the answer is whole, or nobody waits for it. */
+    record Finish() implements NextStep {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/retry/RetryBudgets.java
@@ -0,0 +1,20 @@
+package org.cuminspur.retry;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.cuminspur.id.AccountId;
+
+/**
+ * The retry budgets of the client accounts that have sent requests to this router.
+ *
+ * <p>Thread-safe. One account's failures never use up another's budget. There is an entry per published account at
+ * most, since requests of unknown accounts are refused before.
+ */
+public final class RetryBudgets {
+    private final Map<AccountId, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    /** Returns an account's budget. */
+    public RetryBudget of(AccountId account) {
+        return budgets.computeIfAbsent(account, absent -> new RetryBudget());
+    }
+}
