Relay whole events, resume cut streams and cancel for callers that left

Ruled out: resuming at another upstream, since nothing tells that its tokens continue the same answer; cancelling a non-idempotent request, since that makes its outcome unknown and the repeat is answered from the kept answer instead.

RequestAttemptsTest: 200 schedules of 100 requests, no violation; six naive variants are each reported.

--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -95,7 +96,12 @@
 
     @Override
     public void close() {
-        connection.getIoThread().execute(this::closeUnlessReleased);
+        try {
+            connection.getIoThread().execute(this::closeUnlessReleased);
+        } catch (RejectedExecutionException e) {
+            // The client was closed, and its connections with it.
+            IoUtils.safeClose(connection);
+        }
     }
 
     /** Decides on the input-output thread, since the connection may have gone back and serve another call by now. */
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -1,6 +1,7 @@
 package org.cuminspur.router;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
 import org.cuminspur.admission.ConcurrencyAdmission;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.http.client.HttpClient;
@@ -23,6 +24,7 @@
 public final class RouterDaemon {
     private static final int IO_THREADS = 2;
 
+    private final long unreadyMillis;
     private final HttpClient http;
     private final EtcdStore store;
     private final PeerLinks peers;
@@ -31,6 +33,7 @@
     private final OperatorServer operators;
 
     private RouterDaemon(RouterSettings settings) {
+        unreadyMillis = settings.callers().unreadyMillis();
         Clock clock = Clock.system();
         MetricRegistry metrics = new MetricRegistry();
         RouterSettings.Platform platform = settings.platform();
@@ -69,9 +72,17 @@
         return "listening callers=" + callers.port() + " operator=" + operators.port() + " peer=" + peers.port();
     }
 
-    /** Stops the router: it becomes unready, serves what is in progress, then leaves. */
+    /**
+     * Stops the router.
+     *
+     * <p>It becomes unready and serves on until the balancer has had time to notice; then it refuses new requests as
+     * not run, finishes those in progress and leaves. The control thread runs throughout, so duties are handed over.
+     */
     public void stop() {
         control.post(new ControlInput.StopRequested());
+        callers.drain();
+        pause(unreadyMillis);
+        callers.refuseNew();
         callers.stop();
         operators.stop();
         control.close();
@@ -79,4 +90,12 @@
         store.close();
         http.close();
     }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
@@ -17,7 +17,8 @@
      * @param threads requests that can be in progress at the same time
      * @param maxBodyBytes the largest request body
      * @param maxHeaderBytes the largest request head
-     * @param bodyTimeoutMillis the longest pause of a caller that sends its request
+     * @param bodyTimeoutMillis the longest time of a request's head, of its body, and of a pause in taking an answer
+     * @param unreadyMillis how long new requests are served after the router became unready at a planned stop
      * @param stopTimeoutMillis the longest wait for requests in progress at a planned stop
      */
     public record Callers(
@@ -26,6 +27,7 @@
             long maxBodyBytes,
             int maxHeaderBytes,
             long bodyTimeoutMillis,
+            long unreadyMillis,
             long stopTimeoutMillis) {}
 
     /**
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettingsParser.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettingsParser.java
@@ -74,6 +74,7 @@
                 in.bytes("max-body", 4 * 1_024 * 1_024, 1, 64 * 1_024 * 1_024),
                 (int) in.bytes("max-headers", 32 * 1_024, 1_024, 1_024 * 1_024),
                 in.duration("body-timeout", 10_000, 100, 600_000),
+                in.duration("unready-time", 3_000, 0, 600_000),
                 in.duration("stop-timeout", 120_000, 100, 3_600_000));
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -1,16 +1,14 @@
 package org.cuminspur.router.internal.caller;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.once.StoredAnswer;
 import org.xnio.IoUtils;
@@ -22,33 +20,55 @@
  * in a closed connection, so that a short answer is never taken for a whole one.
  */
 final class CallerAnswer {
-    private static final ObjectMapper JSON = new ObjectMapper();
-    private static final HttpString RUN_STATE = new HttpString("Cuminspur-Run-State");
     private static final HttpString REPEATED = new HttpString("Idempotent-Replayed");
-    private static final HttpString ERROR_KIND = new HttpString("Cuminspur-Error");
 
     private final HttpServerExchange exchange;
     private final MetricRegistry metrics;
+    private final Cancellation gone;
     private boolean eventStream;
 
-    CallerAnswer(HttpServerExchange exchange, MetricRegistry metrics) {
+    /**
+     * Makes an answer.
+     *
+     * @param gone cancelled when the caller closes its connection
+     */
+    CallerAnswer(HttpServerExchange exchange, MetricRegistry metrics, Cancellation gone) {
         this.exchange = exchange;
         this.metrics = metrics;
+        this.gone = gone;
     }
 
-    /** Begins an answer. */
+    /** Returns what is cancelled when the caller goes away. */
+    Cancellation gone() {
+        return gone;
+    }
+
+    /** Returns whether a byte of the answer may have reached the caller. */
+    boolean started() {
+        return exchange.isResponseStarted();
+    }
+
+    /** Begins an answer, in place of one that did not start. */
     void begin(int status, List<HttpHeader> headers) {
+        exchange.getResponseHeaders().clear();
         exchange.setStatusCode(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
-        eventStream = headers.stream()
-                .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type")
-                        && header.value().startsWith("text/event-stream"));
+        eventStream = EventStreams.isOne(headers);
     }
 
-    /** Writes a piece of the body and sends it on at once. */
-    void write(byte[] piece) throws IOException {
-        exchange.getOutputStream().write(piece);
-        exchange.getOutputStream().flush();
+    /** Writes a piece of the body and sends it on at once; returns whether the caller is still there. */
+    boolean write(byte[] piece) {
+        if (gone.cancelled()) {
+            return false;
+        }
+        try {
+            exchange.getOutputStream().write(piece);
+            exchange.getOutputStream().flush();
+            return true;
+        } catch (IOException e) {
+            gone.cancel();
+            return false;
+        }
     }
 
     /** Answers a repeat with the first request's answer. */
@@ -61,48 +81,22 @@
         send(stored.body());
     }
 
-    /** Answers with a refusal, or breaks the answer off if it has begun. */
+    /** Answers with a refusal, or marks the answer as incomplete if it has begun. */
     void refuse(Refusal refusal) {
         metrics.counter("refused." + refusal.kind().label()).inc();
-        if (exchange.isResponseStarted()) {
-            breakOff(refusal);
-            return;
-        }
-        ErrorKind kind = refusal.kind();
-        exchange.getResponseHeaders().clear();
-        exchange.setStatusCode(kind.status());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseHeaders().put(RUN_STATE, kind.runState().label());
-        exchange.getResponseHeaders().put(ERROR_KIND, kind.label());
-        if (kind.comeBack()) {
-            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, refusal.retryAfterSeconds());
-        }
-        send(json(refusal));
-    }
-
-    private void breakOff(Refusal refusal) {
-        if (eventStream) {
-            send("\n\nevent: error\ndata: " + json(refusal) + "\n\n");
+        if (!started()) {
+            RefusalHead.set(exchange, refusal);
+            send(RefusalHead.json(refusal));
+        } else if (eventStream) {
+            send("event: error\ndata: " + RefusalHead.json(refusal) + "\n\n");
         } else {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
 
     private void send(String text) {
-        try {
-            write(text.getBytes(StandardCharsets.UTF_8));
-        } catch (IOException e) {
+        if (!write(text.getBytes(StandardCharsets.UTF_8))) {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
-
-    private static String json(Refusal refusal) {
-        ObjectNode root = JSON.createObjectNode();
-        root.putObject("error")
-                .put("type", refusal.kind().label())
-                .put("message", refusal.kind().message())
-                .put("detail", refusal.detail())
-                .put("run_state", refusal.kind().runState().label());
-        return root.toString();
-    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
@@ -3,32 +3,56 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
-import java.io.IOException;
+import java.util.Optional;
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.Cancellation;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Receives a request's body without a thread of its own, then hands the request to the pipeline on a worker thread.
+ * Receives a request without a thread of its own, then hands it to the pipeline on a worker thread.
  *
- * <p>Thread-safe.
+ * <p>Thread-safe. A request that breaks a limit, or comes after the stop, is refused before it takes a worker thread.
  */
 final class CallerHandler implements HttpHandler {
     private static final Logger log = LoggerFactory.getLogger(CallerHandler.class);
 
     private final RequestPipeline pipeline;
     private final MetricRegistry metrics;
+    private final StopGate gate;
+    private final HeadLimits limits;
+    private final long bodyTimeoutMillis;
 
-    CallerHandler(RequestPipeline pipeline, MetricRegistry metrics) {
+    CallerHandler(
+            RequestPipeline pipeline,
+            MetricRegistry metrics,
+            StopGate gate,
+            HeadLimits limits,
+            long bodyTimeoutMillis) {
         this.pipeline = pipeline;
         this.metrics = metrics;
+        this.gate = gate;
+        this.limits = limits;
+        this.bodyTimeoutMillis = bodyTimeoutMillis;
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
-        exchange.getRequestReceiver().receiveFullBytes(this::received, this::failed);
+        if (!gate.enter()) {
+            EarlyRefusal.send(exchange, Refusal.of(ErrorKind.STOPPING), metrics);
+            return;
+        }
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            gate.leave();
+            next.proceed();
+        });
+        Optional<Refusal> refusal = limits.check(exchange);
+        if (refusal.isPresent()) {
+            EarlyRefusal.send(exchange, refusal.get(), metrics);
+        } else {
+            new BodyReceipt(exchange, metrics, this::received).start(bodyTimeoutMillis);
+        }
     }
 
     private void received(HttpServerExchange exchange, byte[] body) {
@@ -36,9 +60,14 @@
     }
 
     private void serve(HttpServerExchange exchange, byte[] body) {
-        CallerAnswer answer = new CallerAnswer(exchange, metrics);
-        try {
-            exchange.startBlocking();
+        Cancellation gone = new Cancellation();
+        CallerAnswer answer = new CallerAnswer(exchange, metrics, gone);
+        exchange.startBlocking();
+        if (gate.draining()) {
+            exchange.setPersistent(false);
+        }
+        try (CallerWatch watch = CallerWatch.start(exchange, gone)) {
+            gone.onCancel(() -> metrics.counter("callers.gone").inc());
             pipeline.serve(CallerRequest.of(exchange, body), answer);
         } catch (RuntimeException e) {
             log.error("event=request-failed", e);
@@ -47,13 +76,4 @@
             exchange.endExchange();
         }
     }
-
-    private void failed(HttpServerExchange exchange, IOException cause) {
-        ErrorKind kind = cause instanceof RequestTooBigException ? ErrorKind.BODY_TOO_LARGE : ErrorKind.SENDER_TOO_SLOW;
-        exchange.dispatch(() -> {
-            exchange.startBlocking();
-            new CallerAnswer(exchange, metrics).refuse(Refusal.of(kind));
-            exchange.endExchange();
-        });
-    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerRequest.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.cuminspur.router.internal.caller;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.server.HttpServerExchange;
@@ -14,13 +15,13 @@
 /**
  * A request as a caller sent it; immutable, though the body is shared and must not be changed.
  *
- * @param path path without query
+ * @param path decoded path without query, by which routes are matched
  * @param pathAndQuery path with query, as sent
  * @param json the body as JSON, a missing node if it is not JSON
  */
 record CallerRequest(
         String method, String path, String pathAndQuery, List<HttpHeader> headers, byte[] body, JsonNode json) {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
     private static final String BEARER = "Bearer ";
 
     static CallerRequest of(HttpServerExchange exchange, byte[] body) {
@@ -29,11 +30,11 @@
                 .flatMap(CallerRequest::lines)
                 .toList();
         String query = exchange.getQueryString();
-        String path = exchange.getRequestPath();
+        String sent = exchange.getRequestURI();
         return new CallerRequest(
                 exchange.getRequestMethod().toString(),
-                path,
-                query.isEmpty() ? path : path + "?" + query,
+                RequestPath.decode(sent).getOrElse(""),
+                query.isEmpty() ? sent : sent + "?" + query,
                 headers,
                 body,
                 json(headers, body));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerServer.java
@@ -3,32 +3,41 @@
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.handlers.GracefulShutdownHandler;
 import java.net.InetSocketAddress;
 import org.cuminspur.router.RouterSettings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.Options;
 
-/** The server that callers speak to; thread-safe. */
+/**
+ * The server that callers speak to.
+ *
+ * <p>Thread-safe. {@link #drain}, {@link #refuseNew} and {@link #stop} are the steps of a planned stop, in this order.
+ */
 public final class CallerServer {
+    private static final Logger log = LoggerFactory.getLogger("org.cuminspur.state");
     private static final int IO_THREADS = 2;
 
+    /** Heads up to this multiple of the limit get an answer; the connection of a larger one is closed. */
+    private static final int PARSED_HEAD_FACTOR = 2;
+
     private final Undertow server;
-    private final GracefulShutdownHandler inProgress;
+    private final StopGate gate = new StopGate();
     private final long stopTimeoutMillis;
 
     public CallerServer(RouterSettings settings, RequestPipeline pipeline, MetricRegistry metrics) {
         RouterSettings.Callers callers = settings.callers();
         stopTimeoutMillis = callers.stopTimeoutMillis();
-        inProgress = new GracefulShutdownHandler(new CallerHandler(pipeline, metrics));
+        HeadLimits limits = new HeadLimits(callers.maxHeaderBytes());
         server = Undertow.builder()
                 .addHttpListener(callers.port(), settings.host())
                 .setIoThreads(IO_THREADS)
                 .setWorkerThreads(callers.threads())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, callers.maxBodyBytes())
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, callers.maxHeaderBytes())
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, PARSED_HEAD_FACTOR * callers.maxHeaderBytes())
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) callers.bodyTimeoutMillis())
-                .setSocketOption(Options.READ_TIMEOUT, (int) callers.bodyTimeoutMillis())
-                .setHandler(inProgress)
+                .setSocketOption(Options.WRITE_TIMEOUT, (int) callers.bodyTimeoutMillis())
+                .setHandler(new CallerHandler(pipeline, metrics, gate, limits, callers.bodyTimeoutMillis()))
                 .build();
     }
 
@@ -42,11 +51,22 @@
         return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
     }
 
-    /** Refuses new requests, waits for those in progress, then closes. */
+    /** Serves on, but closes each connection after its next answer. */
+    public void drain() {
+        gate.drain();
+    }
+
+    /** Refuses new requests. */
+    public void refuseNew() {
+        gate.close();
+    }
+
+    /** Waits for the requests in progress, then closes. */
     public void stop() {
-        inProgress.shutdown();
         try {
-            inProgress.awaitShutdown(stopTimeoutMillis);
+            if (!gate.awaitEmpty(stopTimeoutMillis)) {
+                log.warn("event=stop-timeout the requests still in progress are cut");
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EarlyRefusal.java
@@ -0,0 +1,82 @@
+package org.cuminspur.router.internal.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.errors.Refusal;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Answers a request that was not read whole, then closes its connection.
+ *
+ * <p>Stateless and thread-safe; takes no worker thread, however slowly the caller sends. What the caller still sends is
+ * dropped for a short time before the connection closes, since closing over unread bytes would reset the connection
+ * and the caller might not see its answer.
+ */
+final class EarlyRefusal {
+    private static final long LINGER_MS = 1_000;
+    private static final int DROP_BYTES = 16 * 1_024;
+
+    private EarlyRefusal() {}
+
+    /** Answers; called on the input-output thread of the connection. */
+    static void send(HttpServerExchange exchange, Refusal refusal, MetricRegistry metrics) {
+        metrics.counter("refused." + refusal.kind().label()).inc();
+        RefusalHead.set(exchange, refusal);
+        exchange.setPersistent(false);
+        exchange.getResponseSender().send(RefusalHead.json(refusal), new IoCallback() {
+            @Override
+            public void onComplete(HttpServerExchange sent, Sender sender) {
+                linger(sent);
+            }
+
+            @Override
+            public void onException(HttpServerExchange sent, Sender sender, IOException e) {
+                close(sent);
+            }
+        });
+    }
+
+    private static void linger(HttpServerExchange exchange) {
+        ServerConnection connection = exchange.getConnection();
+        if (exchange.isRequestComplete()) {
+            exchange.endExchange();
+            return;
+        }
+        StreamConnection channel = ((HttpServerConnection) connection).getChannel();
+        StreamSourceConduit source = ((HttpServerConnection) connection).getOriginalSourceConduit();
+        connection.getIoThread().executeAfter(() -> close(exchange), LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.getSourceChannel().setReadListener(readable -> drop(exchange, source));
+        try {
+            channel.getSinkChannel().shutdownWrites();
+            channel.getSinkChannel().flush();
+            source.resumeReads();
+        } catch (IOException e) {
+            close(exchange);
+        }
+    }
+
+    private static void drop(HttpServerExchange exchange, StreamSourceConduit source) {
+        try {
+            int count = source.read(ByteBuffer.allocate(DROP_BYTES));
+            if (count < 0) {
+                close(exchange);
+            }
+        } catch (IOException e) {
+            close(exchange);
+        }
+    }
+
+    private static void close(HttpServerExchange exchange) {
+        IoUtils.safeClose(exchange.getConnection());
+        exchange.endExchange();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RefusalHead.java
@@ -0,0 +1,42 @@
+package org.cuminspur.router.internal.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+
+/** Turns a refusal into an answer's status, headers and body; stateless and thread-safe. */
+final class RefusalHead {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HttpString RUN_STATE = new HttpString("Cuminspur-Run-State");
+    private static final HttpString ERROR_KIND = new HttpString("Cuminspur-Error");
+
+    private RefusalHead() {}
+
+    /** Sets status and headers of an answer that has not begun. */
+    static void set(HttpServerExchange exchange, Refusal refusal) {
+        ErrorKind kind = refusal.kind();
+        exchange.getResponseHeaders().clear();
+        exchange.setStatusCode(kind.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseHeaders().put(RUN_STATE, kind.runState().label());
+        exchange.getResponseHeaders().put(ERROR_KIND, kind.label());
+        if (kind.comeBack()) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, refusal.retryAfterSeconds());
+        }
+    }
+
+    /** Returns the body as JSON. */
+    static String json(Refusal refusal) {
+        ObjectNode root = JSON.createObjectNode();
+        root.putObject("error")
+                .put("type", refusal.kind().label())
+                .put("message", refusal.kind().message())
+                .put("detail", refusal.detail())
+                .put("run_state", refusal.kind().runState().label());
+        return root.toString();
+    }
+}
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -8,12 +8,14 @@
 import org.cuminspur.config.AccountSpec;
 import org.cuminspur.config.Priority;
 import org.cuminspur.config.RouteSpec;
+import org.cuminspur.config.ServiceKind;
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
 import org.cuminspur.id.IdempotencyKey;
 import org.cuminspur.once.ActionId;
 import org.cuminspur.once.ActionLedger;
 import org.cuminspur.routing.RoutingSnapshot;
+import org.cuminspur.routing.UpstreamSet;
 import org.cuminspur.time.Clock;
 
 /**
@@ -56,7 +58,18 @@
                 .account(request.accountKey())
                 .flatMap(account -> snapshot.routes()
                         .route(account, request.method(), request.path(), request.model())
-                        .map(route -> routed(request, account, route)));
+                        .map(route -> routed(request, account, route)))
+                .filterOrElse(
+                        routed -> wellFormed(snapshot, routed),
+                        routed -> Refusal.of(ErrorKind.BAD_REQUEST, "the body is not a JSON object"));
+    }
+
+    /** Engines read their requests as JSON; plain services get any body. */
+    private static boolean wellFormed(RoutingSnapshot snapshot, RoutedRequest routed) {
+        UpstreamSet set = snapshot.upstreams().get(routed.route().service());
+        boolean engine = set != null && set.service().kind() == ServiceKind.ENGINE;
+        CallerRequest request = routed.request();
+        return !engine || request.body().length == 0 || request.json().isObject();
     }
 
     private RoutedRequest routed(CallerRequest request, AccountSpec account, RouteSpec route) {
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestRun.java
@@ -0,0 +1,90 @@
+package org.cuminspur.router.internal.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.OptionalLong;
+import org.cuminspur.http.client.Cancellation;
+import org.cuminspur.once.ActionLedger.Outcome;
+import org.cuminspur.retry.AttemptEvent;
+import org.cuminspur.retry.NextStep;
+import org.cuminspur.retry.RequestAttempts;
+
+/**
+ * Takes one request from its first attempt to its end; carries out what {@link RequestAttempts} decides.
+ *
+ * <p>Used by one worker thread.
+ */
+final class RequestRun {
+    private final RequestAttempts attempts;
+    private final UpstreamAttempt upstream;
+    private final AnswerRelay relay;
+    private final CallerAnswer answer;
+    private final Cancellation cancellation;
+    private final MetricRegistry metrics;
+
+    RequestRun(
+            RequestAttempts attempts,
+            UpstreamAttempt upstream,
+            AnswerRelay relay,
+            CallerAnswer answer,
+            Cancellation cancellation,
+            MetricRegistry metrics) {
+        this.attempts = attempts;
+        this.upstream = upstream;
+        this.relay = relay;
+        this.answer = answer;
+        this.cancellation = cancellation;
+        this.metrics = metrics;
+    }
+
+    /** Runs the request to its end and returns how it ended. */
+    Outcome run() {
+        if (answer.gone().cancelled()) {
+            return new Outcome.NotSent();
+        }
+        NextStep step = attempts.first();
+        try {
+            while (true) {
+                if (step instanceof NextStep.Send) {
+                    step = attempts.after(upstream.send());
+                } else if (step instanceof NextStep.Resume) {
+                    metrics.counter("upstream.resumed").inc();
+                    step = attempts.after(resume());
+                } else if (step instanceof NextStep.Relay) {
+                    step = attempts.after(pass());
+                } else {
+                    return end(step);
+                }
+            }
+        } finally {
+            upstream.close();
+        }
+    }
+
+    private AttemptEvent pass() {
+        AttemptEvent event = relay.relay(upstream.stream(), upstream.isEngine());
+        upstream.ended(event);
+        return event;
+    }
+
+    private AttemptEvent resume() {
+        OptionalLong after = relay.resumePoint();
+        if (cancellation.cancelled()) {
+            return new AttemptEvent.CallerGone();
+        } else if (after.isEmpty() || !upstream.resume(after.getAsLong())) {
+            return new AttemptEvent.Cut(false);
+        }
+        relay.resumed();
+        return new AttemptEvent.Answered();
+    }
+
+    private Outcome end(NextStep step) {
+        if (step instanceof NextStep.Refuse refuse) {
+            answer.refuse(refuse.refusal());
+            return attempts.mayHaveRun() ? new Outcome.Unknown() : new Outcome.NotSent();
+        } else if (step instanceof NextStep.BreakOff breakOff) {
+            answer.refuse(breakOff.refusal());
+            return new Outcome.Unknown();
+        }
+        return relay.kept().<Outcome>map(Outcome.Answered::new).orElseGet(Outcome.Unknown::new);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamAttempt.java
@@ -0,0 +1,179 @@
+package org.cuminspur.router.internal.caller;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.cuminspur.config.ServiceKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.Cancellation;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpClient;
+import org.cuminspur.http.client.HttpHeader;
+import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.http.client.LoadHeader;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.retry.AttemptEvent;
+import org.cuminspur.routing.LoadReport;
+import org.cuminspur.routing.Placement;
+import org.cuminspur.routing.RoutingSnapshot;
+import org.cuminspur.routing.UpstreamSet;
+import org.cuminspur.routing.UpstreamView;
+import org.cuminspur.time.Clock;
+
+/**
+ * The attempts of one request at upstreams, one after the other.
+ *
+ * <p>Used by one worker thread. Each attempt that was counted as started at an upstream is counted as ended once.
+ */
+final class UpstreamAttempt implements AutoCloseable {
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int UNAVAILABLE = 503;
+
+    /** By this header with the value below, an upstream promises that it did not run a request that it refuses. */
+    private static final String RUN_STATE = "Cuminspur-Run-State";
+
+    private static final String NOT_RUN = "not-run";
+
+    private final HttpClient http;
+    private final Clock clock;
+    private final MetricRegistry metrics;
+    private final RoutingSnapshot snapshot;
+    private final RoutedRequest routed;
+    private final Cancellation cancellation;
+    private final Set<UpstreamId> failed = new HashSet<>();
+    private UpstreamView upstream;
+    private HttpStream stream;
+    private Option<Long> incarnation = Option.none();
+    private boolean counted;
+
+    UpstreamAttempt(
+            HttpClient http,
+            Clock clock,
+            MetricRegistry metrics,
+            RoutingSnapshot snapshot,
+            RoutedRequest routed,
+            Cancellation cancellation) {
+        this.http = http;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.snapshot = snapshot;
+        this.routed = routed;
+        this.cancellation = cancellation;
+    }
+
+    /** Returns the answer that began. */
+    HttpStream stream() {
+        return stream;
+    }
+
+    /** Returns whether the request is for a model engine. */
+    boolean isEngine() {
+        UpstreamSet set = snapshot.upstreams().get(routed.route().service());
+        return set != null && set.service().kind() == ServiceKind.ENGINE;
+    }
+
+    /** Sends the request to an upstream that it has not failed at. */
+    AttemptEvent send() {
+        close();
+        UpstreamSet set = snapshot.upstreams().get(routed.route().service());
+        Optional<UpstreamView> placed = set == null ? Optional.empty() : Placement.place(set, routed.chat(), failed);
+        if (placed.isEmpty()) {
+            return new AttemptEvent.NoUpstream();
+        }
+        upstream = placed.get();
+        counted = true;
+        failed.add(upstream.id());
+        return open(Stream.empty()).fold(this::failure, this::answered);
+    }
+
+    /** Continues the event stream after an id; returns whether the same incarnation of the upstream does so. */
+    boolean resume(long lastEventId) {
+        Option<Long> before = incarnation;
+        close();
+        if (before.isEmpty() || !upstream.gauge().tryStart(upstream.allowance())) {
+            return false;
+        }
+        counted = true;
+        Either<CallFault, HttpStream> opened =
+                open(Stream.of(new HttpHeader("Last-Event-ID", Long.toString(lastEventId))));
+        opened.peek(this::answered);
+        return opened.isRight()
+                && stream.status() == 200
+                && EventStreams.isOne(stream.headers())
+                && incarnation.equals(before);
+    }
+
+    /** Counts the attempt as ended. */
+    void ended(AttemptEvent event) {
+        if (counted) {
+            counted = false;
+            boolean served = event instanceof AttemptEvent.Whole && !refuses(stream);
+            upstream.gauge().end(served || event instanceof AttemptEvent.CallerGone);
+        }
+    }
+
+    @Override
+    public void close() {
+        ended(new AttemptEvent.Broken());
+        if (stream != null) {
+            stream.close();
+            stream = null;
+        }
+    }
+
+    private Either<CallFault, HttpStream> open(Stream<HttpHeader> more) {
+        CallerRequest request = routed.request();
+        HttpCall call = new HttpCall(
+                request.method(),
+                upstream.host(),
+                upstream.port(),
+                request.pathAndQuery(),
+                Stream.concat(EndToEndHeaders.toUpstream(routed).stream(), more).toList(),
+                request.body(),
+                !routed.route().idempotent());
+        metrics.counter("upstream.attempts").inc();
+        return http.open(call, Math.max(1, routed.deadlineMillis() - clock.millis()), cancellation);
+    }
+
+    private AttemptEvent failure(CallFault fault) {
+        AttemptEvent event = cancellation.cancelled() ? new AttemptEvent.CallerGone() : event(fault);
+        ended(event);
+        return event;
+    }
+
+    private AttemptEvent answered(HttpStream opened) {
+        stream = opened;
+        Option<LoadReport> report = LoadHeader.read(opened);
+        report.peek(known -> upstream.gauge().report(known, clock.millis()));
+        incarnation = report.map(LoadReport::incarnation);
+        if (refuses(opened)) {
+            boolean notRun = opened.header(RUN_STATE).filter(NOT_RUN::equals).isPresent();
+            return new AttemptEvent.Refused(notRun, retryAfterMillis(opened));
+        }
+        return new AttemptEvent.Answered();
+    }
+
+    private static boolean refuses(HttpStream answer) {
+        return answer.status() == UNAVAILABLE || answer.status() == TOO_MANY_REQUESTS;
+    }
+
+    private static long retryAfterMillis(HttpStream opened) {
+        return opened.header("Retry-After")
+                .filter(text -> text.matches("\\d{1,6}"))
+                .map(text -> Long.parseLong(text) * 1_000)
+                .orElse(Refusal.DEFAULT_RETRY_AFTER_MS);
+    }
+
+    private static AttemptEvent event(CallFault fault) {
+        return switch (fault) {
+            case NOT_SENT -> new AttemptEvent.NotConnected();
+            case BROKEN -> new AttemptEvent.Broken();
+            case TIMED_OUT -> new AttemptEvent.TimedOut();
+        };
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/retry/AttemptSchedules.java
@@ -0,0 +1,149 @@
+package org.cuminspur.retry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BiFunction;
+import org.cuminspur.errors.RunState;
+import org.cuminspur.testing.VirtualTime;
+
+/**
+ * Runs requests through schedules of attempt events drawn from a seed, and checks what callers are told against what
+ * ran.
+ *
+ * <p>Used by one thread. Knows what upstreams did, which the code under test does not.
+ */
+final class AttemptSchedules {
+    /** Makes the code under test for one request. */
+    interface Subject extends BiFunction<RetryTerms, RetryBudget, Subject.Decisions> {
+        /** Decides after each event; null stands for the start. */
+        interface Decisions {
+            NextStep next(AttemptEvent event);
+        }
+    }
+
+    private static final int TOKENS = 8;
+    private static final int DEADLINE_MS = 1_000;
+
+    private final Random random;
+    private final VirtualTime time = new VirtualTime(0);
+    private final RetryBudget budget = new RetryBudget();
+    private final List<String> violations = new ArrayList<>();
+    private int retries;
+    private int successes;
+    private int executions;
+    private int tokens;
+    private boolean refusing;
+
+    AttemptSchedules(long seed) {
+        random = new Random(seed);
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    /** Runs requests one after the other and returns the violations. */
+    List<String> run(int requests, Subject subject) {
+        for (int i = 0; i < requests; i++) {
+            RetryTerms terms = new RetryTerms(random.nextBoolean(), time.now() + DEADLINE_MS);
+            request(terms, subject.apply(terms, budget));
+            double allowed = RetryBudget.MAX_RETRIES_SAVED + RetryBudget.RETRIES_PER_SUCCESS * successes;
+            expect(retries <= allowed + 1e-9, "retries " + retries + " of " + allowed);
+        }
+        return violations;
+    }
+
+    private void request(RetryTerms terms, Subject.Decisions decisions) {
+        executions = 0;
+        tokens = 0;
+        refusing = false;
+        NextStep step = decisions.next(null);
+        int sent = 0;
+        while (step instanceof NextStep.Send || step instanceof NextStep.Relay || step instanceof NextStep.Resume) {
+            AttemptEvent event;
+            if (step instanceof NextStep.Relay) {
+                event = relay();
+            } else {
+                retries += sent++ > 0 ? 1 : 0;
+                expect(time.now() < terms.deadlineMillis(), "sent after the deadline");
+                event = step instanceof NextStep.Send ? send(terms) : new AttemptEvent.Answered();
+            }
+            long before = time.now();
+            step = decisions.next(event);
+            expect(time.now() == before, "held back");
+            check(terms, event, step);
+        }
+    }
+
+    /** Draws how an attempt begins; what ran is known here only. */
+    private AttemptEvent send(RetryTerms terms) {
+        time.run(random.nextInt(200));
+        switch (random.nextInt(8)) {
+            case 0:
+                return new AttemptEvent.NotConnected();
+            case 1:
+                executions += random.nextInt(2);
+                return new AttemptEvent.Broken();
+            case 2:
+                executions += random.nextInt(2);
+                time.run(Math.max(0, terms.deadlineMillis() - time.now()));
+                return new AttemptEvent.TimedOut();
+            case 3:
+                executions += random.nextInt(2);
+                refusing = true;
+                return new AttemptEvent.Refused(false, 2_000);
+            case 4:
+                return new AttemptEvent.Refused(true, 2_000);
+            case 5:
+                return new AttemptEvent.NoUpstream();
+            default:
+                executions++;
+                refusing = false;
+                return new AttemptEvent.Answered();
+        }
+    }
+
+    private AttemptEvent relay() {
+        time.run(random.nextInt(200));
+        int end = tokens + random.nextInt(TOKENS - tokens + 1);
+        switch (random.nextInt(6)) {
+            case 0:
+                tokens = end;
+                return new AttemptEvent.Cut(random.nextBoolean());
+            case 1:
+                tokens = end;
+                return new AttemptEvent.Late();
+            case 2:
+                return new AttemptEvent.CallerGone();
+            case 3:
+                return tokens == 0 ? new AttemptEvent.Broken() : new AttemptEvent.Cut(false);
+            default:
+                tokens = TOKENS;
+                successes += refusing ? 0 : 1;
+                return new AttemptEvent.Whole();
+        }
+    }
+
+    private void check(RetryTerms terms, AttemptEvent event, NextStep step) {
+        if (step instanceof NextStep.Refuse refuse) {
+            boolean saysNotRun = refuse.refusal().kind().runState() == RunState.NOT_RUN;
+            expect(!saysNotRun || executions == 0, "untrue: " + refuse.refusal().kind());
+            expect(tokens == 0, "refused after a part of the answer");
+        } else if (step instanceof NextStep.Finish) {
+            expect(tokens == TOKENS || event instanceof AttemptEvent.CallerGone, "short answer not marked");
+        } else if (step instanceof NextStep.Send) {
+            expect(terms.idempotent() || executions == 0, "sent again after it ran");
+            expect(tokens == 0, "sent again after a part of the answer");
+        } else if (step instanceof NextStep.Resume) {
+            expect(event instanceof AttemptEvent.Cut cut && cut.resumable(), "resumed where it cannot be");
+            expect(terms.idempotent(), "resumed what must not run twice");
+        }
+    }
+
+    private void expect(boolean holds, String violation) {
+        if (!holds) {
+            violations.add(violation);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/retry/RequestAttemptsTest.java
@@ -0,0 +1,96 @@
+package org.cuminspur.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.stream.LongStream;
+import org.cuminspur.errors.ErrorKind;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks the decisions after failed attempts, and that the checker reports naive ones. */
+public class RequestAttemptsTest {
+    private static final int SCHEDULES = 200;
+    private static final int REQUESTS = 100;
+
+    /** Makes the code under test, given the run it takes part in. */
+    private interface Variant {
+        AttemptSchedules.Subject in(AttemptSchedules run);
+    }
+
+    @Test
+    public void callersAreToldTheTruthWithinTheBudget() {
+        assertEquals(violations(RequestAttemptsTest::real), List.of());
+    }
+
+    @Test(dataProvider = "naive")
+    public void naiveDecisionsAreReported(String violation, Variant naive) {
+        List<String> found = violations(naive);
+        assertTrue(found.stream().anyMatch(text -> text.startsWith(violation)), found.toString());
+    }
+
+    @DataProvider
+    private static Object[][] naive() {
+        Variant forgetful = run -> (terms, budget) -> forgetful(terms, budget, run);
+        Variant careless =
+                run -> (terms, budget) -> real(run).apply(new RetryTerms(true, terms.deadlineMillis()), budget);
+        Variant unbounded = run -> (terms, budget) -> real(run).apply(terms, new RetryBudget());
+        return new Object[][] {
+            {"untrue", forgetful},
+            {
+                "untrue",
+                changing(event -> event instanceof AttemptEvent.Refused ? new AttemptEvent.Refused(true, 0) : event)
+            },
+            {"sent again after it ran", careless},
+            {"retries", unbounded},
+            {"short answer", changing(event -> event instanceof AttemptEvent.Cut ? new AttemptEvent.Whole() : event)},
+            {"resumed where", changing(event -> event instanceof AttemptEvent.Cut ? new AttemptEvent.Cut(true) : event)
+            },
+        };
+    }
+
+    @Test
+    public void refusalAfterAnUnknownAttemptStaysUnknown() {
+        RequestAttempts attempts = new RequestAttempts(new RetryTerms(true, 10), new RetryBudget(), () -> 0);
+        attempts.first();
+        assertEquals(attempts.after(new AttemptEvent.Broken()), new NextStep.Send());
+        NextStep last = attempts.after(new AttemptEvent.NoUpstream());
+        assertEquals(((NextStep.Refuse) last).refusal().kind(), ErrorKind.UPSTREAM_BROKE);
+    }
+
+    private static AttemptSchedules.Subject real(AttemptSchedules run) {
+        return (terms, budget) -> {
+            RequestAttempts attempts =
+                    new RequestAttempts(terms, budget, run.time().clock());
+            return event -> event == null ? attempts.first() : attempts.after(event);
+        };
+    }
+
+    /** Judges each attempt as if it were the only one. */
+    private static AttemptSchedules.Subject.Decisions forgetful(
+            RetryTerms terms, RetryBudget budget, AttemptSchedules run) {
+        return event -> {
+            RequestAttempts fresh =
+                    new RequestAttempts(terms, budget, run.time().clock());
+            NextStep first = fresh.first();
+            return event == null ? first : fresh.after(event);
+        };
+    }
+
+    private static Variant changing(UnaryOperator<AttemptEvent> change) {
+        return run -> (terms, budget) -> {
+            AttemptSchedules.Subject.Decisions decisions = real(run).apply(terms, budget);
+            return event -> decisions.next(event == null ? null : change.apply(event));
+        };
+    }
+
+    private static List<String> violations(Variant variant) {
+        return LongStream.range(0, SCHEDULES)
+                .mapToObj(AttemptSchedules::new)
+                .flatMap(run -> run.run(REQUESTS, variant.in(run)).stream())
+                .distinct()
+                .toList();
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
+++ b/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
@@ -21,6 +21,7 @@
     private final Clock clock;
     private int attempts;
     private boolean mayHaveRun;
+    private boolean relaysRefusal;
     private Refusal last = Refusal.of(ErrorKind.NO_UPSTREAM);
 
     public RequestAttempts(RetryTerms terms, RetryBudget budget, Clock clock) {
@@ -52,7 +53,7 @@
         } else if (event instanceof AttemptEvent.Broken) {
             return failed(ErrorKind.UPSTREAM_BROKE);
         } else if (event instanceof AttemptEvent.TimedOut) {
-            return failed(ErrorKind.DEADLINE_AFTER_SEND);
+            return timedOut();
         } else if (event instanceof AttemptEvent.Refused refused) {
             return refused(refused);
         } else if (event instanceof AttemptEvent.Cut cut) {
@@ -67,12 +68,17 @@
             return new NextStep.Relay();
         } else if (event instanceof AttemptEvent.Late) {
             return new NextStep.BreakOff(Refusal.of(ErrorKind.DEADLINE_AFTER_SEND));
-        } else if (event instanceof AttemptEvent.Whole) {
+        } else if (event instanceof AttemptEvent.Whole && !relaysRefusal) {
             budget.succeeded();
         }
         return new NextStep.Finish();
     }
 
+    private NextStep timedOut() {
+        note(Refusal.of(ErrorKind.DEADLINE_AFTER_SEND));
+        return new NextStep.Refuse(last);
+    }
+
     private NextStep failed(ErrorKind kind) {
         note(Refusal.of(kind));
         if (expired()) {
@@ -90,7 +96,8 @@
             return new NextStep.Send();
         }
         // The upstream's own answer speaks for its own attempt only, so it must not hide an earlier one.
-        return refused.notRun() || earlierMayHaveRun ? new NextStep.Refuse(last) : new NextStep.Relay();
+        relaysRefusal = !refused.notRun() && !earlierMayHaveRun;
+        return relaysRefusal ? new NextStep.Relay() : new NextStep.Refuse(last);
     }
 
     private NextStep cut(AttemptEvent.Cut cut) {
