Check whole answers through processes and raw connections

Cause: late, crossed, cut and short answers were handled in code that no test brought about. A raw upstream and a raw caller send what well-behaved libraries do not. The fleet lists upstreams that a test serves itself, and takes further lines of a router's settings.

--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerFleet.java
@@ -0,0 +1,156 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.http.client.HttpAnswer;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpHeader;
+import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.pgm.ExitCode;
+import org.cuminspur.pgm.Main;
+import org.cuminspur.routing.RouteTable;
+import org.cuminspur.standin.fleet.LocalFleet;
+
+/** A fleet with a published configuration, and the requests that tests of answers send; used by one test class. */
+final class AnswerFleet implements AutoCloseable {
+    private static final String KEY = "buyer-desk-key";
+    private static final long TIMEOUT_MS = 20_000;
+
+    private final LocalFleet fleet = new LocalFleet();
+    private ListedInstance router;
+
+    LocalFleet processes() {
+        return fleet;
+    }
+
+    /** Starts a router that serves {@code /v1} by engines and {@code /stock} by plain services. */
+    void start(String... settings) {
+        router = fleet.router("router-1", "noord-a", settings);
+        String path = fleet.serviceFile(
+                        "all",
+                        String.join(
+                                "\n",
+                                "[service appraisal]",
+                                "kind = engine",
+                                "[service stock]",
+                                "kind = plain",
+                                "[route drafts]",
+                                "service = appraisal",
+                                "path = /v1/chat/completions",
+                                "[route stock]",
+                                "service = stock",
+                                "path = /stock",
+                                "[route lots]",
+                                "service = stock",
+                                "path = /lots",
+                                "deadline = 1s",
+                                "[domain noord-a]",
+                                "region = nl-noord",
+                                "[account buyer-desk]",
+                                "key-sha256 = " + RouteTable.sha256(KEY)))
+                .toString();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
+        String settingsFile = fleet.operatorSettings().toString();
+        ExitCode code = Main.run(stream, System.err, "publish", "--settings", settingsFile, path);
+        assertEquals(code, ExitCode.DONE, out.toString(StandardCharsets.UTF_8));
+    }
+
+    ListedInstance router() {
+        return router;
+    }
+
+    int callerPort() {
+        return router.port(ListedInstance.HTTP_PORT);
+    }
+
+    /** Sends a request and returns its whole answer. */
+    HttpAnswer request(String method, String path, String body) {
+        return fleet.call(method, callerPort(), path, body, headers());
+    }
+
+    /** Sends a request on a connection of its own and returns its answer once it begins. */
+    HttpStream open(String method, String path, String body) {
+        HttpCall call = new HttpCall(
+                method,
+                "127.0.0.1",
+                callerPort(),
+                path,
+                List.of(headers()),
+                body.getBytes(StandardCharsets.UTF_8),
+                true);
+        return fleet.http().open(call, TIMEOUT_MS).get();
+    }
+
+    /** Reads the rest of an answer. */
+    static String rest(HttpStream stream) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        try (stream) {
+            for (byte[] piece = stream.next(TIMEOUT_MS).get();
+                    piece.length > 0;
+                    piece = stream.next(TIMEOUT_MS).get()) {
+                body.writeBytes(piece);
+            }
+        }
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    /** Returns the next piece of an answer. */
+    static String next(HttpStream stream) {
+        return new String(stream.next(TIMEOUT_MS).get(), StandardCharsets.UTF_8);
+    }
+
+    /** Returns the value of a router's counter, 0 if it never counted. */
+    int counter(String name) {
+        String text = fleet.call(
+                        "GET",
+                        router.port(ListedInstance.OPERATOR_PORT),
+                        "/metrics",
+                        "",
+                        new HttpHeader("Authorization", "Bearer " + LocalFleet.OPERATOR_KEY))
+                .text();
+        return text.lines()
+                .filter(line -> line.startsWith("cuminspur_" + name + "_total "))
+                .mapToInt(line -> Integer.parseInt(line.substring(line.indexOf(' ') + 1)))
+                .findFirst()
+                .orElse(0);
+    }
+
+    /** Returns a chat request whose answer's tokens no other chat has. */
+    static String chat(String message) {
+        return "{\"model\":\"appraisal\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"" + message
+                + "\"}]}";
+    }
+
+    /** Returns the tokens that the stand-in engine answers a chat with. */
+    static String tokens(String message, int count) {
+        String word = "t" + Integer.toHexString(message.hashCode());
+        return IntStream.range(0, count).mapToObj(i -> word + "-" + i + " ").collect(Collectors.joining());
+    }
+
+    /** Returns the tokens in the events of a stream. */
+    static String tokensIn(String stream) {
+        return stream.lines()
+                .filter(line -> line.contains("\"content\":\""))
+                .map(line -> line.replaceAll(".*\"content\":\"([^\"]*)\".*", "$1"))
+                .collect(Collectors.joining());
+    }
+
+    static HttpHeader[] headers() {
+        return new HttpHeader[] {
+            new HttpHeader("Authorization", "Bearer " + KEY), new HttpHeader("Content-Type", "application/json")
+        };
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/RawUpstream.java
@@ -0,0 +1,150 @@
+package org.cuminspur.router;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * An upstream that answers byte by byte as a test says, right or wrong; thread-safe.
+ *
+ * <p>Every connection runs the script on a thread of its own until the script returns, then closes.
+ */
+final class RawUpstream implements AutoCloseable {
+    /** What happens on a connection. */
+    interface Script {
+        void run(Connection connection) throws IOException;
+    }
+
+    private static final int SOCKET_TIMEOUT_MS = 20_000;
+    private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
+
+    private final ServerSocket server;
+    private final Script script;
+    private final AtomicInteger connections = new AtomicInteger();
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+    RawUpstream(Script script) {
+        this.script = script;
+        try {
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        daemon(this::accept);
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    /** Tells the test that something happened. */
+    void tell(String event) {
+        events.add(event);
+    }
+
+    /** Waits for the next thing that the script told. */
+    String awaitEvent() {
+        try {
+            return events.poll(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "interrupted";
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                daemon(() -> serve(socket, connections.incrementAndGet()));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket, int number) {
+        try (socket) {
+            socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+            script.run(
+                    new Connection(number, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream()));
+        } catch (IOException e) {
+            tell("failed");
+        }
+    }
+
+    private static void daemon(Runnable task) {
+        Thread thread = new Thread(task, "raw-upstream");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** One connection, seen from the upstream. */
+    record Connection(int number, InputStream in, OutputStream out) {
+        /** Reads a request's head; returns it, empty at the end of the connection. */
+        String head() throws IOException {
+            StringBuilder head = new StringBuilder();
+            for (int next = in.read(); next >= 0; next = in.read()) {
+                head.append((char) next);
+                if (head.length() > 3 && head.substring(head.length() - 4).equals("\r\n\r\n")) {
+                    return head.toString();
+                }
+            }
+            return "";
+        }
+
+        /** Reads a whole request; returns its head. */
+        String request() throws IOException {
+            String head = head();
+            Matcher length = LENGTH.matcher(head);
+            in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+            return head;
+        }
+
+        void send(String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        /** Sends whole answers with a length, all at once. */
+        void answer(String... bodies) throws IOException {
+            send(Stream.of(bodies)
+                    .map(body -> "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                    .collect(Collectors.joining()));
+        }
+
+        /** Waits until the other side closes. */
+        void awaitClose() throws IOException {
+            while (in.read() >= 0) {
+                // Whatever still comes is of no interest.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
@@ -0,0 +1,193 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.HttpAnswer;
+import org.cuminspur.http.client.HttpStream;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Checks through processes that callers get their own whole answers, or marked ones. */
+public class WholeAnswerTest {
+    private static final int TOKENS = 40;
+    private static final int CALLERS = 8;
+
+    private final AnswerFleet fleet = new AnswerFleet();
+    private RawUpstream stock;
+
+    @BeforeClass
+    public void start() {
+        stock = new RawUpstream(this::serve);
+        fleet.processes()
+                .upstream(
+                        "engine",
+                        "engine-1",
+                        "appraisal",
+                        "noord-a",
+                        "--answer-tokens",
+                        Integer.toString(TOKENS),
+                        "--answer-token-ms",
+                        "10");
+        fleet.processes().listedUpstream("stock-1", "stock", "noord-a", stock.port());
+        fleet.start();
+        await("GET", "/stock/ok", "");
+        await("POST", "/v1/chat/completions", AnswerFleet.chat("first"));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+        stock.close();
+    }
+
+    @Test
+    public void cutStreamIsResumedWithoutGapOrRepeat() {
+        int before = fleet.counter("upstream_resumed");
+        fleet.processes().fault("engine-1", "{\"cut_after\":5}");
+        String stream = chat("lot 1");
+        assertEquals(AnswerFleet.tokensIn(stream), AnswerFleet.tokens("lot 1", TOKENS));
+        assertTrue(stream.endsWith("data: [DONE]\n\n"), stream);
+        assertEquals(fleet.counter("upstream_resumed") - before, 1);
+    }
+
+    @Test
+    public void callersAtOnceGetTheirOwnTokensWhileStreamsAreCut() {
+        fleet.processes().fault("engine-1", "{\"cut_after\":7}");
+        List<HttpStream> streams = IntStream.range(0, CALLERS)
+                .mapToObj(i -> fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat("caller " + i)))
+                .toList();
+        for (int i = 0; i < CALLERS; i++) {
+            String stream = AnswerFleet.rest(streams.get(i));
+            assertEquals(AnswerFleet.tokensIn(stream), AnswerFleet.tokens("caller " + i, TOKENS));
+        }
+    }
+
+    @Test
+    public void answerThatBreaksClosesTheCallersConnection() {
+        try (HttpStream answer = fleet.open("GET", "/stock/short", "")) {
+            assertEquals(AnswerFleet.next(answer), "part");
+            assertEquals(answer.next(10_000), Either.left(CallFault.BROKEN));
+        }
+    }
+
+    @Test
+    public void lateAnswerIsRefusedAndNotTakenForAnothers() {
+        int connections = stock.connections();
+        HttpAnswer late = fleet.request("GET", "/lots/late", "");
+        assertEquals(late.status(), 504);
+        assertTrue(late.text().contains("\"run_state\":\"unknown\""), late.text());
+        assertEquals(stock.awaitEvent(), "closed /lots/late");
+        assertEquals(fleet.request("GET", "/stock/own", "").text(), "/stock/own");
+        assertTrue(stock.connections() > connections);
+    }
+
+    @Test
+    public void callerThatLeavesBeforeTheFirstByteCancelsTheUpstreamRequest() throws Exception {
+        try (RawCaller caller = new RawCaller(fleet.callerPort())) {
+            caller.request("GET", "/stock/wait", "");
+            assertEquals(stock.awaitEvent(), "reached /stock/wait");
+        }
+        assertEquals(stock.awaitEvent(), "closed /stock/wait");
+    }
+
+    @Test
+    public void callerThatLeavesAStreamCancelsTheEnginesWork() {
+        int before = cancelled();
+        try (HttpStream answer = fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat("leaving"))) {
+            assertFalse(AnswerFleet.next(answer).isEmpty());
+        }
+        int polls = 0;
+        while (cancelled() == before && polls < TOKENS * 100) {
+            polls++;
+        }
+        assertEquals(cancelled() - before, 1);
+    }
+
+    @Test
+    public void requestSentBeforeTheAnswerEndedIsServedToo() throws Exception {
+        try (RawCaller caller = new RawCaller(fleet.callerPort())) {
+            caller.request("GET", "/stock/one", "");
+            caller.request("GET", "/stock/two", "");
+            caller.request("GET", "/stock/three", "");
+            assertTrue(caller.readUntil("/stock/one").startsWith("HTTP/1.1 200"));
+            caller.readUntil("/stock/two");
+            caller.readUntil("/stock/three");
+        }
+    }
+
+    @Test
+    public void refusalSaysNotRunOnlyIfTheUpstreamSaysSo() {
+        HttpAnswer promised = fleet.request("GET", "/stock/promised", "");
+        assertEquals(promised.status(), 503);
+        assertTrue(promised.text().contains("\"run_state\":\"not-run\""), promised.text());
+        HttpAnswer busy = fleet.request("GET", "/stock/busy", "");
+        assertEquals(busy.status(), 503);
+        assertTrue(busy.text().contains("\"run_state\":\"unknown\""), busy.text());
+    }
+
+    @Test(priority = 1)
+    public void streamOfAKilledEngineEndsInAMarkedError() {
+        HttpStream answer = fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat("killed"));
+        String begun = AnswerFleet.next(answer);
+        fleet.processes().process("engine-1").kill();
+        String stream = begun + AnswerFleet.rest(answer);
+        assertFalse(stream.contains("[DONE]"), stream);
+        assertTrue(stream.contains("event: error\ndata: {\"error\":{\"type\":\"upstream-broke\""), stream);
+    }
+
+    private String chat(String message) {
+        return AnswerFleet.rest(fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat(message)));
+    }
+
+    /** Waits until a new upstream is in the router's snapshot; each call takes as long as its answer. */
+    private void await(String method, String path, String body) {
+        int calls = 0;
+        while (fleet.request(method, path, body).status() != 200 && calls < 5_000) {
+            calls++;
+        }
+    }
+
+    private int cancelled() {
+        int port = fleet.processes().port("engine-1");
+        String counts = fleet.processes().call("GET", port, "/counts", "").text();
+        return Integer.parseInt(counts.replaceAll(".*\"cancelled\":(\\d+).*", "$1"));
+    }
+
+    /** Answers as the path says. */
+    private void serve(RawUpstream.Connection connection) throws IOException {
+        for (String head = connection.request(); !head.isEmpty(); head = connection.request()) {
+            String path = head.split(" ")[1];
+            String name = path.substring(path.lastIndexOf('/') + 1);
+            switch (name) {
+                case "short" -> {
+                    connection.send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
+                    return;
+                }
+                case "late" -> {
+                    connection.awaitClose();
+                    stock.tell("closed " + path);
+                    return;
+                }
+                case "wait" -> {
+                    stock.tell("reached " + path);
+                    connection.awaitClose();
+                    stock.tell("closed " + path);
+                    return;
+                }
+                case "promised" ->
+                    connection.send("HTTP/1.1 503 Busy\r\nCuminspur-Run-State: not-run\r\n"
+                            + "Retry-After: 7\r\nContent-Length: 0\r\n\r\n");
+                case "busy" -> connection.send("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy");
+                default -> connection.answer(path);
+            }
+        }
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -63,13 +63,19 @@
                 Map.of(ListedInstance.HTTP_PORT, process.ports().get("port")));
     }
 
-    /** Starts a router and lists it. */
-    public ListedInstance router(String name, String domain) {
+    /** Lists an upstream that listens on this machine already. */
+    public ListedInstance listedUpstream(String name, String service, String domain, int port) {
+        return list(name, service, domain, Map.of(ListedInstance.HTTP_PORT, port));
+    }
+
+    /** Starts a router with further lines of settings and lists it. */
+    public ListedInstance router(String name, String domain, String... settings) {
         ChildProcess process = start(
                 name,
                 "org.cuminspur.router.Main",
                 "--settings",
-                write(name + ".ini", routerSettings(name, domain)).toString());
+                write(name + ".ini", routerSettings(name, domain) + String.join("\n", settings))
+                        .toString());
         Map<String, Integer> ports = process.ports();
         return list(
                 name,
@@ -117,6 +123,11 @@
         call("POST", port, "/faults", json);
     }
 
+    /** Returns the port on which an instance takes requests. */
+    public int port(String name) {
+        return instances.get(name).port(ListedInstance.HTTP_PORT);
+    }
+
     /** Returns the port of the platform. */
     public int platformPort() {
         return platformPort;
