--- a/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerFleet.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerFleet.java
@@ -76,6 +76,14 @@
         return fleet.call(method, callerPort(), path, body, headers());
     }
 
+    /** Waits until a new upstream is in the router's snapshot; each call takes as long as its answer. */
+    void await(String method, String path, String body) {
+        int calls = 0;
+        while (request(method, path, body).status() != 200 && calls < 5_000) {
+            calls++;
+        }
+    }
+
     /** Sends a request on a connection of its own and returns its answer once it begins. */
     HttpStream open(String method, String path, String body) {
         HttpCall call = new HttpCall(
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
@@ -38,8 +38,8 @@
                         "10");
         fleet.processes().listedUpstream("stock-1", "stock", "noord-a", stock.port());
         fleet.start();
-        await("GET", "/stock/ok", "");
-        await("POST", "/v1/chat/completions", AnswerFleet.chat("first"));
+        fleet.await("GET", "/stock/ok", "");
+        fleet.await("POST", "/v1/chat/completions", AnswerFleet.chat("first"));
     }
 
     @AfterClass(alwaysRun = true)
@@ -147,14 +147,6 @@
         return AnswerFleet.rest(fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat(message)));
     }
 
-    /** Waits until a new upstream is in the router's snapshot; each call takes as long as its answer. */
-    private void await(String method, String path, String body) {
-        int calls = 0;
-        while (fleet.request(method, path, body).status() != 200 && calls < 5_000) {
-            calls++;
-        }
-    }
-
     private int cancelled() {
         int port = fleet.processes().port("engine-1");
         String counts = fleet.processes().call("GET", port, "/counts", "").text();
