--- a/org.cuminspur.router.test/tst/org/cuminspur/router/ClientConnectionTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/ClientConnectionTest.java
@@ -95,6 +95,25 @@
         }
     }
 
+    @DataProvider
+    private static Object[][] lastAnswers() {
+        return new Object[][] {
+            {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}, {"Content-Length: 5\r\n\r\nwhole"},
+        };
+    }
+
+    @Test(dataProvider = "lastAnswers")
+    public void answerAfterWhichTheConnectionClosesIsWhole(String framed) {
+        try (RawUpstream upstream = new RawUpstream(connection -> {
+            connection.request();
+            connection.send("HTTP/1.1 200 OK\r\nConnection: close\r\n" + framed);
+        })) {
+            for (int i = 0; i < 20; i++) {
+                assertEquals(get(upstream, "/", TIMEOUT_MS).map(HttpAnswer::text), Either.right("whole"));
+            }
+        }
+    }
+
     @Test
     public void answersWithoutBodyEnd() {
         try (RawUpstream upstream = new RawUpstream(connection -> {
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
@@ -78,6 +78,18 @@
         }
     }
 
+    @Test
+    public void endIsMarkedAlsoIfTheConnectionClosesAfterTheAnswer() throws Exception {
+        try (RawCaller caller = new RawCaller(fleet.callerPort())) {
+            caller.send(RawCaller.head("GET", "/stock/last", 0).replace("Host:", "Connection: close\r\nHost:"));
+            assertTrue(caller.readAll().endsWith("/stock/last\r\n0\r\n\r\n"));
+        }
+        try (RawCaller caller = new RawCaller(fleet.callerPort())) {
+            caller.send(RawCaller.head("GET", "/stock/short", 0).replace("Host:", "Connection: close\r\nHost:"));
+            assertFalse(caller.readAll().endsWith("0\r\n\r\n"));
+        }
+    }
+
     @Test
     public void lateAnswerIsRefusedAndNotTakenForAnothers() {
         int connections = stock.connections();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -4,6 +4,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -54,6 +56,7 @@
         exchange.setStatusCode(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
         eventStream = EventStreams.isOne(headers);
+        markEnd();
     }
 
     /** Writes a piece of the body and sends it on at once; returns whether the caller is still there. */
@@ -78,6 +81,7 @@
         if (!stored.contentType().isEmpty()) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, stored.contentType());
         }
+        markEnd();
         send(stored.body());
     }
 
@@ -86,6 +90,7 @@
         metrics.counter("refused." + refusal.kind().label()).inc();
         if (!started()) {
             RefusalHead.set(exchange, refusal);
+            markEnd();
             send(RefusalHead.json(refusal));
         } else if (eventStream) {
             send("event: error\ndata: " + RefusalHead.json(refusal) + "\n\n");
@@ -94,6 +99,16 @@
         }
     }
 
+    /** Lets the caller tell the end of the answer from a broken connection, also where the connection closes after it. */
+    private void markEnd() {
+        boolean bodyless = exchange.getRequestMethod().equals(Methods.HEAD)
+                || exchange.getStatusCode() == StatusCodes.NO_CONTENT
+                || exchange.getStatusCode() == StatusCodes.NOT_MODIFIED;
+        if (exchange.isHttp11() && !bodyless) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+    }
+
     private void send(String text) {
         if (!write(text.getBytes(StandardCharsets.UTF_8))) {
             IoUtils.safeClose(exchange.getConnection());
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EarlyRefusal.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EarlyRefusal.java
@@ -8,6 +8,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.Refusal;
 import org.xnio.IoUtils;
@@ -32,7 +33,9 @@
         metrics.counter("refused." + refusal.kind().label()).inc();
         RefusalHead.set(exchange, refusal);
         exchange.setPersistent(false);
-        exchange.getResponseSender().send(RefusalHead.json(refusal), new IoCallback() {
+        byte[] body = RefusalHead.json(refusal).getBytes(StandardCharsets.UTF_8);
+        exchange.setResponseContentLength(body.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body), new IoCallback() {
             @Override
             public void onComplete(HttpServerExchange sent, Sender sender) {
                 linger(sent);
