--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/PlannedStopTest.java
@@ -0,0 +1,88 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.http.client.HttpAnswer;
+import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.standin.fleet.ChildProcess;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/** Stops a router under load as the platform does, and checks that nothing is cut or lost. */
+public class PlannedStopTest {
+    private static final int TOKENS = 150;
+    private static final int CALLERS = 12;
+    private static final int MAX_CALLS = 100_000;
+
+    private final AnswerFleet fleet = new AnswerFleet();
+
+    @BeforeClass
+    public void start() {
+        String[] options = {"--answer-tokens", Integer.toString(TOKENS), "--answer-token-ms", "20"};
+        fleet.processes().upstream("engine", "engine-1", "appraisal", "noord-a", options);
+        fleet.processes().upstream("service", "stock-1", "stock", "noord-a");
+        fleet.start("[callers]", "unready-time = 1s", "");
+        fleet.await("GET", "/stock/ok", "");
+        fleet.await("POST", "/v1/chat/completions", AnswerFleet.chat("first"));
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+    }
+
+    @Test
+    public void requestsInProgressEndWholeAndLaterOnesAreRefusedAsNotRun() throws IOException {
+        ChildProcess router = fleet.processes().process("router-1");
+        List<HttpStream> streams = IntStream.range(0, CALLERS)
+                .mapToObj(i -> fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat("caller " + i)))
+                .toList();
+        List<String> begun = streams.stream().map(AnswerFleet::next).toList();
+        RawCaller idle = new RawCaller(fleet.callerPort());
+        router.terminate();
+        awaitUnready();
+        assertEquals(fleet.request("GET", "/stock/while-unready", "").status(), 200);
+        HttpAnswer refused = awaitRefused();
+        assertEquals(refused.status(), 503);
+        assertTrue(refused.text().contains("\"type\":\"stopping\""), refused.text());
+        assertTrue(refused.text().contains("\"run_state\":\"not-run\""), refused.text());
+        idle.request("GET", "/stock/idle", "");
+        String answer = idle.readAll();
+        assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After: "), answer);
+        List<String> answers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            answers.add(begun.get(i) + AnswerFleet.rest(streams.get(i)));
+        }
+        for (int i = 0; i < CALLERS; i++) {
+            assertEquals(AnswerFleet.tokensIn(answers.get(i)), AnswerFleet.tokens("caller " + i, TOKENS));
+        }
+        assertEquals(router.awaitEnd(), 143);
+    }
+
+    private void awaitUnready() {
+        int calls = 0;
+        int port = fleet.router().port(ListedInstance.OPERATOR_PORT);
+        while (fleet.processes().call("GET", port, "/ready", "").status() == 200) {
+            assertTrue(calls++ < MAX_CALLS, "still ready");
+        }
+    }
+
+    /** Calls until a call is refused; the last call that was served, was served whole. */
+    private HttpAnswer awaitRefused() {
+        for (int calls = 0; calls < MAX_CALLS; calls++) {
+            HttpAnswer answer = fleet.request("GET", "/stock/next", "");
+            if (answer.status() != 200) {
+                return answer;
+            }
+            assertTrue(answer.text().contains("/stock/next"), answer.text());
+        }
+        throw new AssertionError("never refused");
+    }
+}
