--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -7,12 +7,12 @@
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
 import org.cuminspur.http.platform.InstanceWatcher;
-import org.cuminspur.once.RefusingLedger;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.router.internal.caller.CallerServer;
 import org.cuminspur.router.internal.caller.RequestPipeline;
 import org.cuminspur.router.internal.caller.UpstreamCaller;
 import org.cuminspur.router.internal.control.ControlLoop;
+import org.cuminspur.router.internal.once.LedgerDriver;
 import org.cuminspur.router.internal.operator.OperatorServer;
 import org.cuminspur.time.Clock;
 
@@ -28,6 +28,7 @@
     private final HttpClient http;
     private final EtcdStore store;
     private final PeerLinks peers;
+    private final LedgerDriver once;
     private final ControlLoop control;
     private final CallerServer callers;
     private final OperatorServer operators;
@@ -39,6 +40,7 @@
         RouterSettings.Platform platform = settings.platform();
         http = new HttpClient(clock, IO_THREADS, platform.timeoutMillis());
         store = new EtcdStore(http, platform.store(), platform.timeoutMillis());
+        once = new LedgerDriver(settings.once(), settings.self().id(), store, clock, metrics);
         control = new ControlLoop(
                 settings.self(),
                 clock,
@@ -55,7 +57,7 @@
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
                 new ConcurrencyAdmission(settings.callers().threads()),
-                new RefusingLedger(),
+                once.ledger(),
                 new UpstreamCaller(http, clock, metrics),
                 clock);
         callers = new CallerServer(settings, pipeline, metrics);
@@ -65,6 +67,7 @@
     /** Starts a router. */
     public static RouterDaemon start(RouterSettings settings) {
         RouterDaemon daemon = new RouterDaemon(settings);
+        daemon.once.start();
         daemon.callers.start();
         daemon.operators.start();
         daemon.control.start(daemon.peers);
@@ -88,6 +91,7 @@
         pause(unreadyMillis);
         callers.refuseNew();
         callers.stop();
+        once.close();
         operators.stop();
         control.close();
         peers.close();
--- a/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.cuminspur.http.LogSetup;
 import org.cuminspur.standin.engine.EngineSettings;
 import org.cuminspur.standin.engine.StandinEngine;
 import org.cuminspur.standin.platform.StandinPlatform;
@@ -31,6 +32,9 @@
         @Parameter(names = "--cold-ms", description = "How long an engine is cold")
         private long coldMillis;
 
+        @Parameter(names = "--slots", description = "Requests that an engine serves at the same time")
+        private int slots = EngineSettings.QUICK.slots();
+
         @Parameter(names = "--answer-tokens", description = "Tokens of an engine's answer")
         private int answerTokens = EngineSettings.QUICK.answerTokens();
 
@@ -42,6 +46,7 @@
 
     /** Runs until the process is ended. */
     public static void main(String[] args) {
+        LogSetup.use("standin-logback.xml");
         Options options = new Options();
         JCommander.newBuilder()
                 .programName("standin")
@@ -66,7 +71,7 @@
     private static EngineSettings engine(Options options) {
         EngineSettings quick = EngineSettings.QUICK;
         return new EngineSettings(
-                quick.slots(),
+                options.slots,
                 quick.cacheTokens(),
                 quick.promptTokenMicros(),
                 options.answerTokenMillis,
