Close a caller that does not read soon after the deadline

Cause: a caller that takes no bytes held a worker thread for ever once the socket's buffers were full.

The fleet ends processes by a signal now: Process.destroy closes the pipe, so what a process printed while stopping was lost to the test.

Seen: an endless answer on a route with a 1 s deadline is cut; a stop with a bound of 100 ms logs stop-timeout, leaves the cut stream without its end mark and exits 143; a frozen engine's late answer reaches nobody.

--- a/org.cuminspur.router.test/tst/org/cuminspur/router/PlannedStopTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/PlannedStopTest.java
@@ -1,6 +1,7 @@
 package org.cuminspur.router;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -66,6 +67,30 @@
         assertEquals(router.awaitEnd(), 143);
     }
 
+    @Test
+    public void stopEndsWithinItsBoundAndMarksWhatItCuts() throws IOException {
+        ListedInstance other = fleet.processes()
+                .router("router-2", "noord-a", "[callers]", "unready-time = 0ms", "stop-timeout = 100ms", "");
+        int port = other.port(ListedInstance.HTTP_PORT);
+        int calls = 0;
+        while (fleet.processes()
+                        .call("GET", port, "/stock/ok", "", AnswerFleet.headers())
+                        .status()
+                != 200) {
+            assertTrue(calls++ < MAX_CALLS, "never served");
+        }
+        ChildProcess router = fleet.processes().process("router-2");
+        try (RawCaller caller = new RawCaller(port)) {
+            caller.request("POST", "/v1/chat/completions", AnswerFleet.chat("cut"));
+            caller.readUntil("data: ");
+            router.terminate();
+            router.awaitLine(line -> line.contains("event=stop-timeout"));
+            String rest = caller.readAll();
+            assertFalse(rest.contains("[DONE]") || rest.endsWith("0\r\n\r\n"), rest);
+        }
+        assertEquals(router.awaitEnd(), 143);
+    }
+
     private void awaitUnready() {
         int calls = 0;
         int port = fleet.router().port(ListedInstance.OPERATOR_PORT);
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
@@ -123,6 +123,14 @@
         assertEquals(cancelled() - before, 1);
     }
 
+    @Test
+    public void callerThatDoesNotReadIsCutSoonAfterTheDeadline() throws Exception {
+        try (RawCaller caller = new RawCaller(fleet.callerPort())) {
+            caller.request("GET", "/lots/endless", "");
+            assertEquals(stock.awaitEvent(), "failed");
+        }
+    }
+
     @Test
     public void requestSentBeforeTheAnswerEndedIsServedToo() throws Exception {
         try (RawCaller caller = new RawCaller(fleet.callerPort())) {
@@ -145,6 +153,19 @@
         assertTrue(busy.text().contains("\"run_state\":\"unknown\""), busy.text());
     }
 
+    @Test
+    public void answersOfAFrozenEngineComeTooLateAndReachNobodyElse() {
+        fleet.processes().process("engine-1").freeze();
+        String quick = AnswerFleet.chat("frozen").replace("\"appraisal\"", "\"quick\"");
+        HttpAnswer late = fleet.request("POST", "/v1/chat/completions", quick);
+        fleet.processes().process("engine-1").resume();
+        assertEquals(late.status(), 504);
+        assertTrue(late.text().contains("\"run_state\":\"unknown\""), late.text());
+        for (int i = 0; i < CALLERS; i++) {
+            assertEquals(AnswerFleet.tokensIn(chat("woken " + i)), AnswerFleet.tokens("woken " + i, TOKENS));
+        }
+    }
+
     @Test(priority = 1)
     public void streamOfAKilledEngineEndsInAMarkedError() {
         HttpStream answer = fleet.open("POST", "/v1/chat/completions", AnswerFleet.chat("killed"));
@@ -186,6 +207,12 @@
                     stock.tell("closed " + path);
                     return;
                 }
+                case "endless" -> {
+                    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    while (true) {
+                        connection.send("1000\r\n" + "x".repeat(0x1000) + "\r\n");
+                    }
+                }
                 case "promised" ->
                     connection.send("HTTP/1.1 503 Busy\r\nCuminspur-Run-State: not-run\r\n"
                             + "Retry-After: 7\r\nContent-Length: 0\r\n\r\n");
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
@@ -25,7 +25,7 @@
      * @param threads requests that can be in progress at the same time
      * @param maxBodyBytes the largest request body
      * @param maxHeaderBytes the largest request head
-     * @param bodyTimeoutMillis the longest time of a request's head, of its body, and of a pause in taking an answer
+     * @param bodyTimeoutMillis the longest time of a request's head, and of its body
      * @param unreadyMillis how long new requests are served after the router became unready at a planned stop
      * @param stopTimeoutMillis the longest wait for requests in progress at a planned stop
      */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -9,11 +9,13 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.Refusal;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.once.StoredAnswer;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 
 /**
  * Writes the answer to a caller.
@@ -21,13 +23,17 @@
  * <p>Used by one worker thread. An answer that cannot be finished ends in an error event, if it is an event stream, or
  * in a closed connection, so that a short answer is never taken for a whole one.
  */
-final class CallerAnswer {
+final class CallerAnswer implements AutoCloseable {
+    /** Time after the deadline in which a refusal can still be written. */
+    private static final long WRITE_GRACE_MS = 1_000;
+
     private static final HttpString REPEATED = new HttpString("Idempotent-Replayed");
 
     private final HttpServerExchange exchange;
     private final MetricRegistry metrics;
     private final Cancellation gone;
     private boolean eventStream;
+    private XnioExecutor.Key limit;
 
     /**
      * Makes an answer.
@@ -45,6 +51,22 @@
         return gone;
     }
 
+    /** Closes the caller's connection soon after the deadline, lest a caller that does not read holds the thread. */
+    void endWithin(long millis) {
+        limit = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        Math.max(0, millis) + WRITE_GRACE_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (limit != null) {
+            limit.remove();
+        }
+    }
+
     /** Returns whether a byte of the answer may have reached the caller. */
     boolean started() {
         return exchange.isResponseStarted();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
@@ -74,6 +74,7 @@
             answer.refuse(Refusal.of(ErrorKind.INTERNAL));
         } finally {
             exchange.endExchange();
+            answer.close();
         }
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerServer.java
@@ -7,7 +7,6 @@
 import org.cuminspur.router.RouterSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.Options;
 
 /**
  * The server that callers speak to.
@@ -36,7 +35,6 @@
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, callers.maxBodyBytes())
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, PARSED_HEAD_FACTOR * callers.maxHeaderBytes())
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) callers.bodyTimeoutMillis())
-                .setSocketOption(Options.WRITE_TIMEOUT, (int) callers.bodyTimeoutMillis())
                 .setHandler(new CallerHandler(pipeline, metrics, gate, limits, callers.bodyTimeoutMillis()))
                 .build();
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -84,6 +84,7 @@
     }
 
     private void admitted(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        answer.endWithin(routed.deadlineMillis() - clock.millis());
         CompletableFuture<Either<Refusal, Admission.Permit>> reply = new CompletableFuture<>();
         admission.admit(
                 new Admission.Demand(routed.account(), routed.priority(), routed.deadlineMillis()), reply::complete);
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/ChildProcess.java
@@ -96,9 +96,9 @@
         }
     }
 
-    /** Asks the process to stop, as the platform does at a planned stop. */
+    /** Asks the process to stop, as the platform does at a planned stop; what it still prints is read. */
     public void terminate() {
-        process.destroy();
+        signal("-TERM");
     }
 
     /** Ends the process at once. */
