--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -7,12 +7,15 @@
 import io.undertow.client.ClientResponse;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -31,18 +34,28 @@
  * hands over.
  */
 public final class ClientExchangeStream implements HttpStream {
+    private static final Set<Integer> WITHOUT_BODY = Set.of(StatusCodes.NO_CONTENT, StatusCodes.NOT_MODIFIED);
+
     private final ClientConnection connection;
+    private final Runnable giveBack;
     private final BodyQueue body;
     private final CompletableFuture<ClientResponse> response = new CompletableFuture<>();
 
+    /** The three below are used on the input-output thread only. */
+    private boolean head;
+
+    private boolean requestWritten;
+    private boolean released;
+
     public ClientExchangeStream(ClientConnection connection, Runnable giveBack) {
         this.connection = connection;
-        this.body = new BodyQueue(connection, giveBack);
+        this.giveBack = giveBack;
+        this.body = new BodyQueue(connection, this::bodyCompleted);
     }
 
     /** Sends the request and waits until its answer begins. */
     public Either<CallFault, HttpStream> start(HttpCall call, long timeoutMillis) {
-        connection.getIoThread().execute(() -> send(call));
+        connection.getIoThread().execute(() -> trySend(call));
         try {
             response.get(timeoutMillis, TimeUnit.MILLISECONDS);
             return Either.right(this);
@@ -83,12 +96,50 @@
 
     @Override
     public void close() {
-        if (!body.complete()) {
-            connection.getIoThread().execute(() -> IoUtils.safeClose(connection));
+        try {
+            connection.getIoThread().execute(this::closeUnlessReleased);
+        } catch (RejectedExecutionException e) {
+            // The client was closed, and its connections with it.
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Decides on the input-output thread, since the connection may have gone back and serve another call by now. */
+    private void closeUnlessReleased() {
+        if (!released && connection.isOpen()) {
+            abort();
+        }
+    }
+
+    /** Closes the connection's channel, since closing the connection itself first waits for the rest of the answer. */
+    private void abort() {
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Gives the connection back, unless the answer came before the request was sent in whole. */
+    private void bodyCompleted() {
+        if (requestWritten && !released) {
+            released = true;
+            giveBack.run();
+        } else {
+            closeUnlessReleased();
+        }
+    }
+
+    private void trySend(HttpCall call) {
+        try {
+            send(call);
+        } catch (RuntimeException e) {
+            fail(new IOException(e));
         }
     }
 
     private void send(HttpCall call) {
+        head = call.method().equals("HEAD");
         ClientRequest request = new ClientRequest()
                 .setMethod(HttpString.tryFromString(call.method()))
                 .setPath(call.path());
@@ -97,10 +148,20 @@
                 .forEach(header ->
                         request.getRequestHeaders().add(HttpString.tryFromString(header.name()), header.value()));
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
-        connection.getCloseSetter().set(closed -> fail(new IOException("the connection was closed")));
+        connection.getCloseSetter().set(closed -> failSoon());
         connection.sendRequest(request, callback(exchange -> sendBody(exchange, call.body())));
     }
 
+    /** Lets a read that is under way see the end of the body first, since its end may be what closes the connection. */
+    private void failSoon() {
+        IOException cause = new IOException("the connection was closed");
+        try {
+            connection.getIoThread().execute(() -> fail(cause));
+        } catch (RejectedExecutionException e) {
+            fail(cause);
+        }
+    }
+
     private void sendBody(ClientExchange exchange, byte[] bytes) {
         exchange.setResponseListener(callback(this::answered));
         StreamSinkChannel channel = exchange.getRequestChannel();
@@ -123,20 +184,34 @@
                 return;
             }
             channel.suspendWrites();
+            requestWritten = true;
         } catch (IOException e) {
             fail(e);
         }
     }
 
     private void answered(ClientExchange exchange) {
-        body.start(exchange.getResponseChannel());
-        response.complete(exchange.getResponse());
+        ClientResponse answer = exchange.getResponse();
+        response.complete(answer);
+        if (WITHOUT_BODY.contains(answer.getResponseCode())) {
+            // A length in such an answer is not that of a body, so the connection's state cannot be trusted.
+            body.endEmpty();
+            closeUnlessReleased();
+        } else {
+            body.start(exchange.getResponseChannel(), endIsMarked(answer));
+        }
+    }
+
+    private boolean endIsMarked(ClientResponse answer) {
+        return head
+                || answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
     }
 
     private void fail(IOException cause) {
         response.completeExceptionally(cause);
         body.fail();
-        IoUtils.safeClose(connection);
+        closeUnlessReleased();
     }
 
     private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -1,19 +1,21 @@
 package org.cuminspur.router.internal.caller;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.cuminspur.errors.ErrorKind;
+import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.once.StoredAnswer;
 import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
 
 /**
  * Writes the answer to a caller.
@@ -21,34 +23,77 @@
  * <p>Used by one worker thread. An answer that cannot be finished ends in an error event, if it is an event stream, or
  * in a closed connection, so that a short answer is never taken for a whole one.
  */
-final class CallerAnswer {
-    private static final ObjectMapper JSON = new ObjectMapper();
-    private static final HttpString RUN_STATE = new HttpString("Cuminspur-Run-State");
+final class CallerAnswer implements AutoCloseable {
+    /** Time after the deadline in which a refusal can still be written. */
+    private static final long WRITE_GRACE_MS = 1_000;
+
     private static final HttpString REPEATED = new HttpString("Idempotent-Replayed");
-    private static final HttpString ERROR_KIND = new HttpString("Cuminspur-Error");
 
     private final HttpServerExchange exchange;
     private final MetricRegistry metrics;
+    private final Cancellation gone;
     private boolean eventStream;
+    private XnioExecutor.Key limit;
 
-    CallerAnswer(HttpServerExchange exchange, MetricRegistry metrics) {
+    /**
+     * Makes an answer.
+     *
+     * @param gone cancelled when the caller closes its connection
+     */
+    CallerAnswer(HttpServerExchange exchange, MetricRegistry metrics, Cancellation gone) {
         this.exchange = exchange;
         this.metrics = metrics;
+        this.gone = gone;
+    }
+
+    /** Returns what is cancelled when the caller goes away. */
+    Cancellation gone() {
+        return gone;
     }
 
-    /** Begins an answer. */
+    /** Closes the caller's connection soon after the deadline, lest a caller that does not read holds the thread. */
+    void endWithin(long millis) {
+        limit = exchange.getIoThread()
+                .executeAfter(
+                        () -> IoUtils.safeClose(exchange.getConnection()),
+                        Math.max(0, millis) + WRITE_GRACE_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (limit != null) {
+            limit.remove();
+        }
+    }
+
+    /** Returns whether a byte of the answer may have reached the caller. */
+    boolean started() {
+        return exchange.isResponseStarted();
+    }
+
+    /** Begins an answer, in place of one that did not start. */
     void begin(int status, List<HttpHeader> headers) {
+        exchange.getResponseHeaders().clear();
         exchange.setStatusCode(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
-        eventStream = headers.stream()
-                .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type")
-                        && header.value().startsWith("text/event-stream"));
+        eventStream = EventStreams.isOne(headers);
+        markEnd();
     }
 
-    /** Writes a piece of the body and sends it on at once. */
-    void write(byte[] piece) throws IOException {
-        exchange.getOutputStream().write(piece);
-        exchange.getOutputStream().flush();
+    /** Writes a piece of the body and sends it on at once; returns whether the caller is still there. */
+    boolean write(byte[] piece) {
+        if (gone.cancelled()) {
+            return false;
+        }
+        try {
+            exchange.getOutputStream().write(piece);
+            exchange.getOutputStream().flush();
+            return true;
+        } catch (IOException e) {
+            gone.cancel();
+            return false;
+        }
     }
 
     /** Answers a repeat with the first request's answer. */
@@ -58,51 +103,37 @@
         if (!stored.contentType().isEmpty()) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, stored.contentType());
         }
+        markEnd();
         send(stored.body());
     }
 
-    /** Answers with a refusal, or breaks the answer off if it has begun. */
+    /** Answers with a refusal, or marks the answer as incomplete if it has begun. */
     void refuse(Refusal refusal) {
         metrics.counter("refused." + refusal.kind().label()).inc();
-        if (exchange.isResponseStarted()) {
-            breakOff(refusal);
-            return;
-        }
-        ErrorKind kind = refusal.kind();
-        exchange.getResponseHeaders().clear();
-        exchange.setStatusCode(kind.status());
-        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-        exchange.getResponseHeaders().put(RUN_STATE, kind.runState().label());
-        exchange.getResponseHeaders().put(ERROR_KIND, kind.label());
-        if (kind.comeBack()) {
-            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, refusal.retryAfterSeconds());
+        if (!started()) {
+            RefusalHead.set(exchange, refusal);
+            markEnd();
+            send(RefusalHead.json(refusal));
+        } else if (eventStream) {
+            send("event: error\ndata: " + RefusalHead.json(refusal) + "\n\n");
+        } else {
+            IoUtils.safeClose(exchange.getConnection());
         }
-        send(json(refusal));
     }
 
-    private void breakOff(Refusal refusal) {
-        if (eventStream) {
-            send("\n\nevent: error\ndata: " + json(refusal) + "\n\n");
-        } else {
-            IoUtils.safeClose(exchange.getConnection());
+    /** Lets the caller tell the end of the answer from a broken connection, also where the connection closes after it. */
+    private void markEnd() {
+        boolean bodyless = exchange.getRequestMethod().equals(Methods.HEAD)
+                || exchange.getStatusCode() == StatusCodes.NO_CONTENT
+                || exchange.getStatusCode() == StatusCodes.NOT_MODIFIED;
+        if (exchange.isHttp11() && !bodyless) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
         }
     }
 
     private void send(String text) {
-        try {
-            write(text.getBytes(StandardCharsets.UTF_8));
-        } catch (IOException e) {
+        if (!write(text.getBytes(StandardCharsets.UTF_8))) {
             IoUtils.safeClose(exchange.getConnection());
         }
     }
-
-    private static String json(Refusal refusal) {
-        ObjectNode root = JSON.createObjectNode();
-        root.putObject("error")
-                .put("type", refusal.kind().label())
-                .put("message", refusal.kind().message())
-                .put("detail", refusal.detail())
-                .put("run_state", refusal.kind().runState().label());
-        return root.toString();
-    }
 }
