Settle lost replies of publications by revision, and back off

Cause: a publisher whose reply was lost looked only at the head's publication id, so with another publication on top it reported a conflict for a change that was in force. Any read fault was final, and racers tried again at once. Each transaction now also writes the publication id under a key of its revision (a ring of 4,096), which the publisher reads for each write whose reply was lost. Ruled out: ids per file (a later change of the same file overwrites them), a list of ids in the head (each of 24 watches would get it with each change).

--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/Publish.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/Publish.java
@@ -36,11 +36,18 @@
         console.progress("publishing " + files.get().size() + " files");
         CompletableFuture<PublishResult> result = new CompletableFuture<>();
         String publication = UUID.randomUUID().toString();
-        new Publisher(fleet.store(), publication, files.get(), Set.copyOf(removals), result::complete).call();
-        return report(result.join(), fleet, console);
+        new Publisher(
+                        fleet.store(),
+                        publication,
+                        files.get(),
+                        Set.copyOf(removals),
+                        fleet.backoff(timeoutMillis()),
+                        result::complete)
+                .call();
+        return report(publication, result.join(), fleet, console);
     }
 
-    private ExitCode report(PublishResult result, Fleet fleet, Console console) {
+    private ExitCode report(String publication, PublishResult result, Fleet fleet, Console console) {
         if (result instanceof PublishResult.Published published) {
             return await(published.revision(), fleet, console);
         }
@@ -52,12 +59,15 @@
             return FaultReport.print(faulty.faults(), json(), console.out());
         }
         if (result instanceof PublishResult.Conflict conflict) {
-            return console.fail("revision " + conflict.revision() + " changed the same files meanwhile: "
+            return console.fail("publication " + publication + " lost a race: by revision " + conflict.revision()
+                    + " (publication " + conflict.publication() + ") the same files were changed meanwhile: "
                     + conflict.files() + "; nothing was published");
         }
         PublishResult.StoreDown down = (PublishResult.StoreDown) result;
         return console.fail("the platform's store does not answer; "
-                + (down.mayHavePublished() ? "the files may have been published" : "nothing was published"));
+                + (down.mayHavePublished()
+                        ? "the files may have been published; publish again to find out"
+                        : "nothing was published"));
     }
 
     private ExitCode await(Revision revision, Fleet fleet, Console console) {
--- a/org.cuminspur/src/org/cuminspur/internal/config/ConfigStoreCodec.java
+++ b/org.cuminspur/src/org/cuminspur/internal/config/ConfigStoreCodec.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminspur.config.ConfigDocument;
 import org.cuminspur.config.ConfigFile;
@@ -20,7 +21,8 @@
  *
  * <p>The head key holds number, publication id and the revision of each file; each file has a key of its own. A
  * document is written in one transaction conditional on the head, so that a reader of one store revision always
- * finds the files that its head names.
+ * finds the files that its head names. The same transaction keeps the publication's id under a key of its revision,
+ * so that a publisher can tell its own work after later publications.
  */
 public final class ConfigStoreCodec {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -40,6 +42,38 @@
                 .orElse(ConfigDocument.EMPTY);
     }
 
+    /** Returns the revision that the head in a view names, or {@link Revision#NONE} if it holds no head. */
+    public static Revision headRevision(StoreView view) {
+        return view.entry(StoreKeys.CONFIG_HEAD)
+                .map(entry -> new Revision(head(entry.value()).revision()))
+                .orElse(Revision.NONE);
+    }
+
+    /**
+     * Returns the document after one transaction of a watch, or empty if files are missing that {@code held} lacks.
+     *
+     * @param changes keys that the transaction wrote, its head among them
+     */
+    public static Optional<ConfigDocument> advance(ConfigDocument held, StoreView changes) {
+        Head head = changes.entry(StoreKeys.CONFIG_HEAD)
+                .map(entry -> head(entry.value()))
+                .orElseThrow();
+        Map<String, ConfigFile> files = new HashMap<>();
+        head.files().forEach((name, number) -> {
+            Revision revision = new Revision(number);
+            ConfigFile old = held.files().get(name);
+            if (old != null && old.revision().equals(revision)) {
+                files.put(name, old);
+            } else if (number == head.revision()) {
+                changes.entry(StoreKeys.CONFIG_FILE + name)
+                        .ifPresent(entry -> files.put(name, new ConfigFile(revision, entry.value())));
+            }
+        });
+        return files.size() < head.files().size()
+                ? Optional.empty()
+                : Optional.of(new ConfigDocument(new Revision(head.revision()), head.publication(), files));
+    }
+
     /** Returns the write that replaces {@code base} by {@code next} if the head is still at {@code headModRevision}. */
     public static Txn write(ConfigDocument base, ConfigDocument next, long headModRevision) {
         Map<String, Long> revisions = new TreeMap<>();
@@ -47,6 +81,7 @@
         List<Txn.Put> puts = new ArrayList<>();
         puts.add(Txn.Put.of(
                 StoreKeys.CONFIG_HEAD, json(new Head(next.revision().value(), next.publication(), revisions))));
+        puts.add(Txn.Put.of(StoreKeys.publication(next.revision()), next.publication()));
         next.files().entrySet().stream()
                 .filter(entry -> !entry.getValue().equals(base.files().get(entry.getKey())))
                 .map(entry -> Txn.Put.of(
--- a/org.cuminspur/src/org/cuminspur/publish/PublishResult.java
+++ b/org.cuminspur/src/org/cuminspur/publish/PublishResult.java
@@ -18,9 +18,10 @@
     /**
      * Another publication changed the same files meanwhile; nothing was published.
      *
+     * @param publication id of the newest publication
      * @param files the files that both changed
      */
-    record Conflict(Revision revision, List<String> files) implements PublishResult {}
+    record Conflict(Revision revision, String publication, List<String> files) implements PublishResult {}
 
     /** The platform's store did not answer in time; whether the publication took effect is not known. */
     record StoreDown(boolean mayHavePublished) implements PublishResult {}
--- a/org.cuminspur/src/org/cuminspur/publish/Publisher.java
+++ b/org.cuminspur/src/org/cuminspur/publish/Publisher.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.cuminspur.config.ConfigDocument;
@@ -24,20 +25,19 @@
  * Commits operators' files as one numbered revision.
  *
  * <p>Run once by {@link #call}. Publications of different files merge; one that meets another's change of the same
- * file ends in a conflict. A lost reply is settled by reading back the publication id. Not thread-safe, but replies of
- * the store may come on any thread, since only one call is open at a time.
+ * file ends in a conflict. A lost reply is settled by reading the publication id kept under the revision that the write
+ * would have made, also when other publications have landed on top. Not thread-safe, but replies of the store and the
+ * timer may come on any thread, since only one call is open at a time.
  */
 public final class Publisher {
-    private static final int MAX_TRIES = 64;
-
     private final Store store;
     private final String publication;
     private final Map<String, String> changes;
     private final Set<String> removals;
+    private final Backoff backoff;
     private final Consumer<PublishResult> done;
+    private final TreeSet<Revision> uncertain = new TreeSet<>();
     private ConfigDocument first;
-    private boolean uncertain;
-    private int tries;
 
     /**
      * Prepares a publication.
@@ -45,6 +45,7 @@
      * @param publication id that no other publication has
      * @param changes file name to new text
      * @param removals names of files to remove
+     * @param backoff when to try again, and for how long
      * @param done takes the result, once
      */
     public Publisher(
@@ -52,52 +53,68 @@
             String publication,
             Map<String, String> changes,
             Set<String> removals,
+            Backoff backoff,
             Consumer<PublishResult> done) {
         this.store = store;
         this.publication = publication;
         this.changes = Map.copyOf(changes);
         this.removals = Set.copyOf(removals);
+        this.backoff = backoff;
         this.done = done;
     }
 
     /** Starts the publication. */
     public void call() {
-        tries++;
-        if (tries > MAX_TRIES) {
-            done.accept(new PublishResult.StoreDown(uncertain));
-            return;
-        }
         store.range(StoreKeys.CONFIG, this::read);
     }
 
     private void read(Either<StoreFault, StoreView> reply) {
         if (reply.isLeft()) {
-            done.accept(new PublishResult.StoreDown(uncertain));
+            backoff.afterFault(this::call, this::giveUp);
             return;
         }
         ConfigDocument current = ConfigStoreCodec.read(reply.get());
-        if (first == null) {
-            first = current;
-        }
+        first = first == null ? current : first;
         if (current.publication().equals(publication)) {
             done.accept(new PublishResult.Published(current.revision()));
-            return;
+        } else if (!uncertain.isEmpty() && !uncertain.first().after(current.revision())) {
+            settle(uncertain.first(), current.revision());
+        } else {
+            decide(current, reply.get().modRevision(StoreKeys.CONFIG_HEAD));
         }
+    }
+
+    /** Finds out whose publication made a revision that an earlier write of this one may have made. */
+    private void settle(Revision revision, Revision current) {
+        store.range(StoreKeys.publication(revision), reply -> {
+            if (reply.isLeft()) {
+                backoff.afterFault(this::call, this::giveUp);
+            } else if (reply.get().entries().stream()
+                    .anyMatch(entry -> entry.value().equals(publication))) {
+                done.accept(new PublishResult.Published(revision));
+            } else if (current.value() - revision.value() >= StoreKeys.PUBLICATIONS) {
+                giveUp();
+            } else {
+                uncertain.remove(revision);
+                call();
+            }
+        });
+    }
+
+    private void decide(ConfigDocument current, long headModRevision) {
         List<String> raced = raced(current);
         if (!raced.isEmpty()) {
-            done.accept(new PublishResult.Conflict(current.revision(), raced));
+            done.accept(new PublishResult.Conflict(current.revision(), current.publication(), raced));
             return;
         }
-        commit(current, reply.get().modRevision(StoreKeys.CONFIG_HEAD));
-    }
-
-    private void commit(ConfigDocument current, long headModRevision) {
         ConfigDocument next = next(current);
         if (next.files().equals(current.files())) {
             done.accept(new PublishResult.Unchanged(current.revision()));
             return;
         }
-        Either<List<ConfigFault>, ?> checked = ConfigParser.parse(next.texts());
+        List<ConfigFault> faults = PublishLimits.check(next.texts());
+        Either<List<ConfigFault>, ?> checked =
+                faults.isEmpty() ? ConfigParser.parse(next.texts()) : Either.left(faults);
         if (checked.isLeft()) {
             done.accept(new PublishResult.Faulty(checked.getLeft()));
             return;
@@ -109,20 +126,34 @@
     private void committed(Either<StoreFault, TxnResult> reply, Revision revision) {
         if (reply.isRight() && reply.get().succeeded()) {
             done.accept(new PublishResult.Published(revision));
-            return;
+        } else if (reply.isRight()) {
+            backoff.afterLostRace(this::call, this::giveUp);
+        } else {
+            if (reply.getLeft() == StoreFault.UNKNOWN) {
+                uncertain.add(revision);
+            }
+            backoff.afterFault(this::call, this::giveUp);
         }
-        uncertain |= reply.isLeft() && reply.getLeft() == StoreFault.UNKNOWN;
-        call();
+    }
+
+    private void giveUp() {
+        done.accept(new PublishResult.StoreDown(!uncertain.isEmpty()));
     }
 
     private List<String> raced(ConfigDocument current) {
         return Stream.concat(changes.keySet().stream(), removals.stream())
                 .filter(name ->
                         !Objects.equals(first.files().get(name), current.files().get(name)))
+                .filter(name -> !Objects.equals(changes.get(name), text(current, name)))
                 .sorted()
                 .toList();
     }
 
+    private static String text(ConfigDocument document, String name) {
+        ConfigFile file = document.files().get(name);
+        return file == null ? null : file.text();
+    }
+
     private ConfigDocument next(ConfigDocument current) {
         Revision revision = current.revision().next();
         Map<String, ConfigFile> files = new HashMap<>(current.files());
--- a/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
+++ b/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
@@ -1,21 +1,33 @@
 package org.cuminspur.store;
 
 import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.Revision;
 import org.cuminspur.id.UpstreamId;
 
 /** Names the keys that the fleet keeps in the platform's store; stateless and thread-safe. */
 public final class StoreKeys {
-    /** Prefix of the configuration: its head and its files. */
+    /** Prefix of all that operators say: the configuration's head, its files, and orders; one watch covers it. */
     public static final String CONFIG = "cuminspur/config/";
+    /** Prefix of the configuration's head and of orders, which are small enough to read often. */
+    public static final String CURRENT = CONFIG + "current/";
     /** Number, publication id and file revisions of the newest configuration. */
-    public static final String CONFIG_HEAD = CONFIG + "head";
+    public static final String CONFIG_HEAD = CURRENT + "head";
     /** Prefix of configuration files. */
     public static final String CONFIG_FILE = CONFIG + "file/";
     /** Prefix of orders to take out and bring back. */
-    public static final String ORDER = "cuminspur/order/";
+    public static final String ORDER = CURRENT + "order/";
+    /** Number of newest publications whose ids are kept. */
+    public static final int PUBLICATIONS = 4_096;
+
+    private static final String PUBLICATION = "cuminspur/publication/";
 
     private StoreKeys() {}
 
+    /** Returns the key that holds the publication id of a revision until {@link #PUBLICATIONS} later ones. */
+    public static String publication(Revision revision) {
+        return PUBLICATION + String.format("%04d", revision.value() % PUBLICATIONS);
+    }
+
     /** Returns the key of an order about a failure domain. */
     public static String order(FailureDomainId domain) {
         return ORDER + "domain/" + domain;
