Number orders by time and spread news of leaving upstreams

Cause: a router that had not seen a take-out gave its bring-back a low generation, so the operator's later order lost without a word; two orders of equal generation by different people never became alike; only the router that accepted an order filed it; lists that lag let leaving upstreams take work. The order commands wait for their own generation and say so when the order lost.

--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/OrderCommand.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/OrderCommand.java
@@ -1,14 +1,23 @@
 package org.cuminspur.pgm;
 
 import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Iterator;
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.control.Target;
 import org.cuminspur.pgm.internal.Fleet;
+import org.cuminspur.pgm.internal.RouterStatus;
 
-/** Gives an order about a target and waits until all routers hold it; used by one thread. */
+/**
+ * Gives an order about a target and waits until all routers hold it; used by one thread.
+ *
+ * <p>The command never reports success before every listed router holds the order, so one that was accepted by a
+ * router that then failed is not taken for done.
+ */
 abstract class OrderCommand extends FleetCommand {
     @Parameter(description = "domain/NAME or upstream/NAME", required = true)
     private List<String> targets = new ArrayList<>();
@@ -29,19 +38,52 @@
             console.fail("expected one target, domain/NAME or upstream/NAME");
             return ExitCode.WRONG_USAGE;
         }
-        List<ListedInstance> routers = fleet.routers().getOrElse(List.of());
-        console.progress("giving the order to one of " + routers.size() + " instances");
-        boolean accepted = routers.stream().anyMatch(router -> fleet.order(router, target.get(), out, by));
-        if (!accepted) {
-            return console.fail("no instance accepted the order");
+        Option<List<ListedInstance>> routers = fleet.routers();
+        if (routers.isEmpty()) {
+            return console.fail("the platform's instance list does not answer");
         }
-        return await(target.get(), fleet, console);
+        console.progress("giving the order to one of " + routers.get().size() + " instances");
+        return Iterator.ofAll(routers.get())
+                .flatMap(router -> fleet.order(router, target.get(), out, by))
+                .headOption()
+                .map(generation -> await(target.get(), generation, fleet, console))
+                .getOrElse(() -> console.fail("no instance accepted the order"));
     }
 
-    private ExitCode await(Target target, Fleet fleet, Console console) {
-        Fleet.Reached reached = fleet.await(status -> status.hasOrder(target.label(), out), timeoutMillis());
-        console.line(target.label() + " is " + (out ? "out of" : "in") + " service on " + reached.instances() + " of "
-                + reached.listed() + " instances");
+    private ExitCode await(Target target, long generation, Fleet fleet, Console console) {
+        Fleet.Reached reached = fleet.await(status -> status.holdsOrder(target.label(), generation), timeoutMillis());
+        Option<JsonNode> beaten = fleet.routers()
+                .map(fleet::statuses)
+                .flatMap(all -> Iterator.ofAll(all)
+                        .flatMap(status -> order(status, target))
+                        .find(order -> order.path("generation").asLong() >= generation
+                                && order.path("out").asBoolean() != out));
+        report(target, generation, reached, console);
+        if (beaten.isDefined()) {
+            return console.fail("the order lost: " + beaten.get().path("by").asText() + " gave the opposite order");
+        }
+        if (reached.instances() == 0) {
+            return console.fail("no instance holds the order any more; give it again");
+        }
         return reached.all() ? ExitCode.DONE : ExitCode.FAILED;
     }
+
+    private static Option<JsonNode> order(RouterStatus status, Target target) {
+        return status.order(target.label());
+    }
+
+    private void report(Target target, long generation, Fleet.Reached reached, Console console) {
+        if (json()) {
+            console.json(new ObjectMapper()
+                    .createObjectNode()
+                    .put("target", target.label())
+                    .put("out", out)
+                    .put("generation", generation)
+                    .put("held", reached.instances())
+                    .put("listed", reached.listed()));
+        } else {
+            console.line(target.label() + " is " + (out ? "out of" : "in") + " service on " + reached.instances()
+                    + " of " + reached.listed() + " instances");
+        }
+    }
 }
--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/Fleet.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/Fleet.java
@@ -6,8 +6,11 @@
 import io.vavr.control.Try;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.cuminspur.control.ListedInstance;
@@ -18,6 +21,7 @@
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.http.platform.EtcdStore;
 import org.cuminspur.http.platform.InstanceList;
+import org.cuminspur.publish.Backoff;
 import org.cuminspur.store.Store;
 import org.cuminspur.time.Clock;
 
@@ -39,6 +43,7 @@
     private final HttpClient http;
     private final EtcdStore store;
     private final InstanceList instances;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
     public Fleet(OperatorSettings settings) {
         this.settings = settings;
@@ -52,6 +57,15 @@
         return store;
     }
 
+    /** Returns how a publication spaces its tries. */
+    public Backoff backoff(long timeoutMillis) {
+        return new Backoff(
+                clock,
+                (delay, action) -> timer.schedule(action, delay, TimeUnit.MILLISECONDS),
+                new SecureRandom(),
+                timeoutMillis);
+    }
+
     /** Returns the routers in the platform's list by name, none if the platform does not answer. */
     public Option<List<ListedInstance>> routers() {
         return instances
@@ -69,11 +83,14 @@
                 .toList();
     }
 
-    /** Gives an order to a router; returns whether it was accepted. */
-    public boolean order(ListedInstance router, Target target, boolean out, String by) {
+    /** Gives an order to a router; returns its generation there, none if it was not accepted. */
+    public Option<Long> order(ListedInstance router, Target target, boolean out, String by) {
         String path =
                 "/orders?target=" + encode(target.label()) + "&state=" + (out ? "out" : "in") + "&by=" + encode(by);
-        return call(router, "POST", path).exists(HttpAnswer::succeeded);
+        return call(router, "POST", path)
+                .filter(HttpAnswer::succeeded)
+                .flatMap(answer -> Try.of(() -> JSON.readTree(answer.body())).toOption())
+                .map(node -> node.path("generation").asLong());
     }
 
     /** Waits until every listed router is as wanted, or time runs out. */
@@ -91,6 +108,7 @@
 
     @Override
     public void close() {
+        timer.shutdownNow();
         store.close();
         http.close();
     }
--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/RouterStatus.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/RouterStatus.java
@@ -1,6 +1,7 @@
 package org.cuminspur.pgm.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.collection.Iterator;
 import io.vavr.control.Option;
 import org.cuminspur.control.ListedInstance;
 
@@ -20,15 +21,14 @@
         return json.map(node -> node.path("revision").asLong()).getOrElse(0L);
     }
 
-    /** Returns whether a target's newest order there is in the state given. */
-    public boolean hasOrder(String target, boolean out) {
-        return json.exists(node -> {
-            for (JsonNode order : node.path("orders")) {
-                if (order.path("target").asText().equals(target)) {
-                    return order.path("out").asBoolean() == out;
-                }
-            }
-            return false;
-        });
+    /** Returns whether the router holds an order about a target of a generation or a newer one. */
+    public boolean holdsOrder(String target, long generation) {
+        return order(target).exists(order -> order.path("generation").asLong() >= generation);
+    }
+
+    /** Returns the router's order about a target. */
+    public Option<JsonNode> order(String target) {
+        return json.flatMap(node -> Iterator.ofAll(node.path("orders"))
+                .find(order -> order.path("target").asText().equals(target)));
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/operator/OperatorServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/operator/OperatorServer.java
@@ -13,6 +13,7 @@
 import java.security.MessageDigest;
 import java.util.Deque;
 import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.Order;
 import org.cuminspur.control.Target;
 import org.cuminspur.router.RouterSettings;
 import org.cuminspur.router.internal.control.ControlLoop;
@@ -77,7 +78,8 @@
         }
         String by = parameter(exchange, "by");
         control.post(new ControlInput.OrderGiven(target.get(), state.equals("out"), by.isBlank() ? "operator" : by));
-        send(exchange, 202, "text/plain", "accepted\n");
+        Order order = control.read(tables -> tables.order(target.get())).get();
+        send(exchange, 202, "application/json", "{\"generation\":" + order.generation() + "}\n");
     }
 
     private HttpHandler keyed(HttpHandler handler) {
--- a/org.cuminspur/src/org/cuminspur/control/Order.java
+++ b/org.cuminspur/src/org/cuminspur/control/Order.java
@@ -3,16 +3,19 @@
 /**
  * An operator's order about one target; immutable.
  *
- * @param generation higher wins
+ * @param generation higher wins; at least the accepting router's time in milliseconds
  * @param out whether the target is out of service; wins a tie of generations
- * @param by who gave it, for people
+ * @param by who gave it, for people; settles a tie that is left, so that all routers keep the same order
  */
 public record Order(Target target, long generation, boolean out, String by) {
-    /** Returns whether this order takes the place of {@code other}. */
+    /** Returns whether this order takes the place of {@code other}; of two unequal orders exactly one does. */
     public boolean beats(Order other) {
         if (generation != other.generation) {
             return generation > other.generation;
         }
-        return out && !other.out;
+        if (out != other.out) {
+            return out;
+        }
+        return by.compareTo(other.by) > 0;
     }
 }
--- a/org.cuminspur/src/org/cuminspur/control/UpstreamRow.java
+++ b/org.cuminspur/src/org/cuminspur/control/UpstreamRow.java
@@ -10,6 +10,7 @@
     private final UpstreamId id;
     private final UpstreamGauge gauge = new UpstreamGauge();
     private ListedInstance listed;
+    private boolean toldLeaving;
     private double weight = 1;
     private int allowance = Integer.MAX_VALUE;
 
@@ -35,8 +36,14 @@
         return listed.domain();
     }
 
+    /** Returns whether the upstream is about to stop, as this router's list or a peer's says. */
     public boolean leaving() {
-        return listed.leaving();
+        return listed.leaving() || toldLeaving;
+    }
+
+    /** Sets whether a peer told that this incarnation is about to stop. */
+    public void toldLeaving(boolean told) {
+        toldLeaving = told;
     }
 
     /** Returns the counters that traffic threads write. */
--- a/org.cuminspur/src/org/cuminspur/control/system/OrderSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/OrderSystem.java
@@ -1,11 +1,9 @@
 package org.cuminspur.control.system;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.ControlOutput;
 import org.cuminspur.control.ControlSystem;
@@ -17,6 +15,7 @@
 import org.cuminspur.control.message.PeerMessage.Digest;
 import org.cuminspur.control.message.PeerMessage.Orders;
 import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
 import org.cuminspur.internal.config.OrderCodec;
 import org.cuminspur.store.StoreEntry;
 import org.cuminspur.store.StoreKeys;
@@ -27,16 +26,19 @@
  * Spreads operators' orders among the routers and files them in the platform's store.
  *
  * <p>Used on the control thread only. An order takes effect on the router that receives it at once, whether or not
- * the store is up; the router that received it files it as soon as the store answers.
+ * the store is up. Any router that reads the store files the orders that the store lacks, so an order outlives the
+ * router that received it. The order of an upstream that has long left the list is dropped everywhere, so the table
+ * is bounded by the failure domains and the upstreams of about one day.
  */
 public final class OrderSystem implements ControlSystem {
-    private static final long READ_INTERVAL_MS = 1_000;
+    private static final long EXCHANGE_INTERVAL_MS = 300;
+    private static final long EXPIRY_INTERVAL_MS = 10_000;
+    private static final long KEEP_UNLISTED_MS = 24 * 3_600_000L;
     private static final String TAG = "order:";
 
     private final Tables tables;
-    private final Set<Target> unfiled = new HashSet<>();
-    private final Map<String, Long> storedAt = new HashMap<>();
-    private long nextReadMillis = Long.MIN_VALUE;
+    private long nextExchangeMillis = Long.MIN_VALUE;
+    private long nextExpiryMillis = Long.MIN_VALUE;
 
     public OrderSystem(Tables tables) {
         this.tables = tables;
@@ -46,29 +48,35 @@
     public void register(InputHandlers handlers) {
         handlers.on(ControlInput.OrderGiven.class, this::given);
         handlers.on(ControlInput.StoreRead.class, this::storeRead);
+        handlers.on(
+                ControlInput.StoreChanged.class,
+                (input, turn) -> stored(input.changes()).values().forEach(order -> merge(order, turn)));
         handlers.onPeer(Digest.class, this::digest);
         handlers.onPeer(Orders.class, this::received);
     }
 
     @Override
     public void tick(Turn turn) {
-        if (turn.now() >= nextReadMillis) {
-            nextReadMillis = turn.now() + READ_INTERVAL_MS;
-            turn.out().accept(new ControlOutput.ReadStore(StoreKeys.ORDER));
+        if (turn.now() >= nextExpiryMillis) {
+            nextExpiryMillis = turn.now() + EXPIRY_INTERVAL_MS;
+            List<Order> expired =
+                    tables.orders().filter(order -> expired(order, turn.now())).toList();
+            expired.forEach(order -> tables.forget(order.target()));
         }
     }
 
     private void given(ControlInput.OrderGiven input, Turn turn) {
         Order held = tables.order(input.target());
-        long generation = held == null ? 1 : held.generation() + 1;
+        long generation = held == null ? turn.now() : Math.max(turn.now(), held.generation() + 1);
         Order order = new Order(input.target(), generation, input.out(), input.by());
         merge(order, turn);
-        unfiled.add(order.target());
         tables.peers().forEach(peer -> turn.send(peer.id(), new Orders(List.of(order), false)));
+        turn.out().accept(new ControlOutput.ReadStore(StoreKeys.CURRENT));
     }
 
     private void digest(InstanceId from, Digest digest, Turn turn) {
-        if (digest.orders() != OrderCodec.hash(tables.orders())) {
+        if (digest.orders() != OrderCodec.hash(tables.orders()) && turn.now() >= nextExchangeMillis) {
+            nextExchangeMillis = turn.now() + EXCHANGE_INTERVAL_MS;
             turn.send(from, new Orders(tables.orders().toList(), true));
         }
     }
@@ -81,37 +89,53 @@
     }
 
     private void storeRead(ControlInput.StoreRead input, Turn turn) {
-        if (input.prefix().equals(StoreKeys.ORDER)) {
+        if (input.prefix().startsWith(StoreKeys.CONFIG)) {
             input.reply().forEach(view -> reconcile(view, turn));
         }
     }
 
     private void reconcile(StoreView view, Turn turn) {
-        storedAt.clear();
-        view.entries().forEach(entry -> storedAt.put(entry.key(), entry.modRevision()));
-        Map<Target, Order> stored = new HashMap<>();
+        Map<Target, Order> stored = stored(view);
+        stored.values().forEach(order -> merge(order, turn));
+        tables.orders()
+                .filter(order -> stored.get(order.target()) == null || order.beats(stored.get(order.target())))
+                .forEach(order -> commit(order.target(), view, List.of(put(order)), List.of(), turn));
+        stored.values().stream()
+                .filter(order -> expired(order, turn.now()))
+                .map(Order::target)
+                .forEach(target -> commit(target, view, List.of(), List.of(target.storeKey()), turn));
+    }
+
+    private static Map<Target, Order> stored(StoreView view) {
+        Map<Target, Order> orders = new HashMap<>();
         view.entries().stream()
+                .filter(entry -> entry.key().startsWith(StoreKeys.ORDER))
                 .map(StoreEntry::value)
                 .map(OrderCodec::parse)
                 .flatMap(Optional::stream)
-                .forEach(order -> stored.put(order.target(), order));
-        stored.values().forEach(order -> merge(order, turn));
-        unfiled.removeIf(target -> !beatsStored(tables.order(target), stored.get(target)));
-        unfiled.forEach(target -> file(tables.order(target), turn));
+                .forEach(order -> orders.merge(order.target(), order, (a, b) -> b.beats(a) ? b : a));
+        return orders;
     }
 
-    private static boolean beatsStored(Order held, Order stored) {
-        return stored == null || held.beats(stored);
+    private static Txn.Put put(Order order) {
+        return Txn.Put.of(order.target().storeKey(), OrderCodec.format(order));
     }
 
-    private void file(Order order, Turn turn) {
-        String key = order.target().storeKey();
-        Txn txn = Txn.swap(key, storedAt.getOrDefault(key, 0L), OrderCodec.format(order));
+    private static void commit(Target target, StoreView view, List<Txn.Put> puts, List<String> deletes, Turn turn) {
+        String key = target.storeKey();
+        Txn txn = new Txn(List.of(new Txn.Compare(key, view.modRevision(key))), puts, deletes);
         turn.out().accept(new ControlOutput.CommitStore(TAG + key, txn));
     }
 
+    private boolean expired(Order order, long now) {
+        return order.target().kind() == Target.Kind.UPSTREAM
+                && now - order.generation() > KEEP_UNLISTED_MS
+                && tables.upstreams().findAny().isPresent()
+                && tables.upstream(new UpstreamId(order.target().name())) == null;
+    }
+
     private void merge(Order order, Turn turn) {
-        if (tables.merge(order)) {
+        if (!expired(order, turn.now()) && tables.merge(order)) {
             turn.changed(
                     order.out() ? "taken-out" : "brought-back", order.target().label() + " by " + order.by());
         }
