Let few routers watch the store and the rest learn from peers

Cause: every router read two prefixes of the store once a second, 720 reads/s at 360 routers, and digests cost 6 messages/s. Others pull deltas from peers: digests are pushed for a second after a change and exchanged with one peer a second. If the fleet's newest reading is older than 2 s, any router reads, at 4 reads/s over the whole fleet. Peers that miss three questions are left out for a minute. Deltas name removed files instead of all kept ones and carry a hash, so that a missing base leads to a whole document. Ruled out: heartbeat counters for all peers in each digest, about 1.4 KB each.

--- a/org.cuminspur.peer/src/org/cuminspur/peer/internal/PeerCodec.java
+++ b/org.cuminspur.peer/src/org/cuminspur/peer/internal/PeerCodec.java
@@ -8,6 +8,7 @@
 import org.cuminspur.control.message.PeerMessage;
 import org.cuminspur.id.AccountId;
 import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.Revision;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.peer.internal.generated.AccountShares;
@@ -84,6 +85,9 @@
                 .setConfig(digest.config().value())
                 .setOrders(digest.orders())
                 .setStopping(digest.stopping())
+                .setReply(digest.reply())
+                .setStoreAgeMillis(digest.storeAgeMillis())
+                .addAllLost(digest.lost().stream().map(InstanceId::value).toList())
                 .build();
     }
 
@@ -92,7 +96,10 @@
                 new FailureDomainId(digest.getDomain()),
                 new Revision(digest.getConfig()),
                 digest.getOrders(),
-                digest.getStopping());
+                digest.getStopping(),
+                digest.getReply(),
+                digest.getStoreAgeMillis(),
+                digest.getLostList().stream().map(InstanceId::new).toList());
     }
 
     private static ConfigDelta encode(PeerMessage.ConfigDelta delta) {
@@ -100,7 +107,8 @@
                 .setBase(delta.base().value())
                 .setRevision(delta.revision().value())
                 .setPublication(delta.publication())
-                .addAllKept(delta.kept());
+                .addAllRemoved(delta.removed())
+                .setFiles(delta.files());
         delta.changed()
                 .forEach((name, file) -> builder.addChanged(ConfigFile.newBuilder()
                         .setName(name)
@@ -120,7 +128,8 @@
                 new Revision(delta.getRevision()),
                 delta.getPublication(),
                 changed,
-                delta.getKeptList());
+                delta.getRemovedList(),
+                delta.getFiles());
     }
 
     private static Orders encode(PeerMessage.Orders orders) {
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.cuminspur.control.system.ConfigSystem;
 import org.cuminspur.control.system.GossipSystem;
+import org.cuminspur.control.system.LeavingSystem;
 import org.cuminspur.control.system.MembershipSystem;
 import org.cuminspur.control.system.OrderSystem;
+import org.cuminspur.control.system.StoreWatchSystem;
 import org.cuminspur.routing.RoutingSnapshot;
 
 /**
@@ -23,14 +26,26 @@
     private volatile RoutingSnapshot snapshot = RoutingSnapshot.EMPTY;
 
     public ControlCore(Self self, RandomGenerator random) {
+        this(self, tables -> systems(tables, random));
+    }
+
+    /** Makes a core of the systems given, which run in their order. */
+    public ControlCore(Self self, Function<Tables, List<ControlSystem>> choice) {
         tables = new Tables(self);
-        systems = List.of(
+        systems = List.copyOf(choice.apply(tables));
+        systems.forEach(system -> system.register(handlers));
+        handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
+    }
+
+    /** Returns the systems that a router runs. */
+    public static List<ControlSystem> systems(Tables tables, RandomGenerator random) {
+        return List.of(
                 new MembershipSystem(tables),
+                new LeavingSystem(tables, random),
+                new StoreWatchSystem(tables, random),
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
                 new GossipSystem(tables, random));
-        systems.forEach(system -> system.register(handlers));
-        handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
     }
 
     /** Acts on one input. */
--- a/org.cuminspur/src/org/cuminspur/control/PeerRow.java
+++ b/org.cuminspur/src/org/cuminspur/control/PeerRow.java
@@ -11,6 +11,7 @@
     private long heardMillis = Long.MIN_VALUE;
     private Revision config = Revision.NONE;
     private boolean stopping;
+    private long silentUntilMillis = Long.MIN_VALUE;
 
     PeerRow(ListedInstance listed) {
         this.id = new InstanceId(listed.name());
@@ -45,6 +46,16 @@
         return stopping;
     }
 
+    /** Returns whether the peer is worth talking to: it answers, and is not about to leave. */
+    public boolean live(long now) {
+        return !stopping && now >= silentUntilMillis;
+    }
+
+    /** Notes that the peer does not answer; it is tried again after {@code untilMillis}. */
+    public void silent(long untilMillis) {
+        silentUntilMillis = untilMillis;
+    }
+
     void listed(ListedInstance instance) {
         this.listed = instance;
     }
@@ -54,5 +65,6 @@
         heardMillis = now;
         config = revision.after(config) ? revision : config;
         stopping = isStopping;
+        silentUntilMillis = Long.MIN_VALUE;
     }
 }
--- a/org.cuminspur/src/org/cuminspur/control/Tables.java
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -25,6 +25,7 @@
     private final Map<Target, Order> orders = new TreeMap<>();
     private ConfigDocument document = ConfigDocument.EMPTY;
     private FleetConfig config = FleetConfig.EMPTY;
+    private long storeSeenMillis = Long.MIN_VALUE / 2;
     private boolean stopping;
 
     public Tables(Self self) {
@@ -70,6 +71,21 @@
         return peers.values().stream();
     }
 
+    /** Returns the other routers that answer and are not about to leave, in order of their ids. */
+    public Stream<PeerRow> livePeers(long now) {
+        return peers().filter(peer -> peer.live(now));
+    }
+
+    /** Returns how long ago a router of the fleet last read the store, as far as this one knows. */
+    public long storeAgeMillis(long now) {
+        return now - storeSeenMillis;
+    }
+
+    /** Notes that a router of the fleet read the store. */
+    public void storeSeen(long atMillis) {
+        storeSeenMillis = Math.max(storeSeenMillis, atMillis);
+    }
+
     /** Returns another router, or null if it is not listed. */
     public PeerRow peer(InstanceId id) {
         return peers.get(id);
@@ -105,6 +121,11 @@
         return true;
     }
 
+    /** Forgets the order about a target. */
+    public void forget(Target target) {
+        orders.remove(target);
+    }
+
     /** Returns whether operators took a failure domain out of service. */
     public boolean out(FailureDomainId domain) {
         return out(new Target(Target.Kind.DOMAIN, domain.value()));
--- a/org.cuminspur/src/org/cuminspur/control/message/PeerMessage.java
+++ b/org.cuminspur/src/org/cuminspur/control/message/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.cuminspur.control.Order;
 import org.cuminspur.id.AccountId;
 import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.Revision;
 import org.cuminspur.id.UpstreamId;
 
@@ -16,13 +17,28 @@
  */
 public sealed interface PeerMessage {
     /**
-     * What a router holds, sent to a few peers at every gossip interval.
+     * What a router holds, sent to a few peers.
      *
      * @param config the revision in force
      * @param orders order-independent hash over all orders held
      * @param stopping whether the sender is about to leave
+     * @param reply whether the receiver's own digest is wanted in return
+     * @param storeAgeMillis how long ago a router last read the store, as far as the sender knows
+     * @param lost routers that have just stopped answering the sender
      */
-    record Digest(FailureDomainId domain, Revision config, long orders, boolean stopping) implements PeerMessage {}
+    record Digest(
+            FailureDomainId domain,
+            Revision config,
+            long orders,
+            boolean stopping,
+            boolean reply,
+            long storeAgeMillis,
+            List<InstanceId> lost)
+            implements PeerMessage {
+        public Digest {
+            lost = List.copyOf(lost);
+        }
+    }
 
     /** Asks for a configuration newer than {@code have}. */
     record ConfigRequest(Revision have) implements PeerMessage {}
@@ -30,15 +46,21 @@
     /**
      * The files that changed between two revisions.
      *
-     * @param base the revision that the receiver must hold, or {@link Revision#NONE} for a whole document
-     * @param kept names of all files of the newer revision
+     * @param base the oldest revision that the receiver may hold, or {@link Revision#NONE} for a whole document
+     * @param removed names of files that the newer revision lacks
+     * @param files hash over names and revisions of all files of the newer revision
      */
     record ConfigDelta(
-            Revision base, Revision revision, String publication, Map<String, ConfigFile> changed, List<String> kept)
+            Revision base,
+            Revision revision,
+            String publication,
+            Map<String, ConfigFile> changed,
+            List<String> removed,
+            long files)
             implements PeerMessage {
         public ConfigDelta {
             changed = Map.copyOf(changed);
-            kept = List.copyOf(kept);
+            removed = List.copyOf(removed);
         }
     }
 
@@ -59,7 +81,8 @@
     /**
      * One upstream out of the ordinary; immutable.
      *
-     * @param incarnation start of the upstream's process in milliseconds since the epoch
+     * @param incarnation start of the upstream's process in milliseconds since the epoch; for {@code LEAVING} the hash
+     *     of the incarnation in the platform's list
      * @param observedMillis when it was observed, by the observer's clock
      * @param load work in progress as a multiple of what the upstream bears
      */
--- a/org.cuminspur/src/org/cuminspur/control/system/ConfigSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/ConfigSystem.java
@@ -1,13 +1,14 @@
 package org.cuminspur.control.system;
 
 import io.vavr.control.Either;
-import java.util.HashMap;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.cuminspur.config.ConfigDocument;
 import org.cuminspur.config.ConfigFault;
-import org.cuminspur.config.ConfigFile;
 import org.cuminspur.config.ConfigParser;
 import org.cuminspur.config.FleetConfig;
 import org.cuminspur.control.ControlInput;
@@ -21,19 +22,31 @@
 import org.cuminspur.control.message.PeerMessage.Digest;
 import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.Revision;
+import org.cuminspur.internal.config.ConfigDeltas;
 import org.cuminspur.internal.config.ConfigStoreCodec;
+import org.cuminspur.store.StoreEntry;
 import org.cuminspur.store.StoreKeys;
+import org.cuminspur.store.StoreView;
 
 /**
- * Keeps the newest published configuration in force.
+ * Keeps the newest published configuration in force, as the store's watch, its reads and the peers tell it.
  *
  * <p>Used on the control thread only. A revision lower than the one in force is never applied, wherever it comes from.
+ * At most one request to a peer and one read of the whole configuration are open at a time.
  */
 public final class ConfigSystem implements ControlSystem {
-    private static final long READ_INTERVAL_MS = 1_000;
+    private static final long REQUEST_TIMEOUT_MS = 300;
+    private static final long READ_TIMEOUT_MS = 1_000;
+
+    /** A peer that holds a newer revision, to be asked again if the answer is lost. */
+    private record Ahead(InstanceId peer, Revision revision) {}
 
     private final Tables tables;
-    private long nextReadMillis = Long.MIN_VALUE;
+    private final ConfigDeltas deltas = new ConfigDeltas();
+    private Revision rejected = Revision.NONE;
+    private Ahead ahead;
+    private long requestedUntilMillis = Long.MIN_VALUE;
+    private long readUntilMillis = Long.MIN_VALUE;
 
     public ConfigSystem(Tables tables) {
         this.tables = tables;
@@ -42,6 +55,7 @@
     @Override
     public void register(InputHandlers handlers) {
         handlers.on(ControlInput.StoreRead.class, this::storeRead);
+        handlers.on(ControlInput.StoreChanged.class, this::storeChanged);
         handlers.onPeer(Digest.class, this::digest);
         handlers.onPeer(ConfigRequest.class, (from, request, turn) -> answer(from, request.have(), turn));
         handlers.onPeer(ConfigDelta.class, this::delta);
@@ -49,57 +63,109 @@
 
     @Override
     public void tick(Turn turn) {
-        if (turn.now() >= nextReadMillis) {
-            nextReadMillis = turn.now() + READ_INTERVAL_MS;
-            turn.out().accept(new ControlOutput.ReadStore(StoreKeys.CONFIG));
+        boolean unanswered = ahead != null && turn.now() >= requestedUntilMillis;
+        if (unanswered && wanted(ahead.revision())) {
+            request(ahead.peer(), tables.document().revision(), turn);
+        } else if (unanswered) {
+            ahead = null;
         }
     }
 
     private void storeRead(ControlInput.StoreRead input, Turn turn) {
-        if (input.prefix().equals(StoreKeys.CONFIG)) {
-            input.reply().map(ConfigStoreCodec::read).forEach(document -> apply(document, "store", turn));
+        if (input.prefix().equals(StoreKeys.CURRENT)) {
+            input.reply()
+                    .toOption()
+                    .flatMap(view -> readHead(view, turn))
+                    .filter(this::wanted)
+                    .forEach(revision -> readStore(turn));
+        } else if (input.prefix().equals(StoreKeys.CONFIG)) {
+            readUntilMillis = Long.MIN_VALUE;
+            input.reply()
+                    .forEach(view -> Try.of(() -> ConfigStoreCodec.read(view))
+                            .onFailure(fault -> turn.changed("store-malformed", fault.getMessage()))
+                            .forEach(document -> apply(document, "store", turn)));
+        }
+    }
+
+    private static Option<Revision> readHead(StoreView view, Turn turn) {
+        return Try.of(() -> ConfigStoreCodec.headRevision(view))
+                .onFailure(fault -> turn.changed("store-malformed", fault.getMessage()))
+                .toOption();
+    }
+
+    private void storeChanged(ControlInput.StoreChanged input, Turn turn) {
+        input.changes().entries().stream()
+                .collect(Collectors.groupingBy(StoreEntry::modRevision, TreeMap::new, Collectors.toList()))
+                .forEach((revision, entries) -> transaction(new StoreView(revision, entries), turn));
+    }
+
+    private void transaction(StoreView changes, Turn turn) {
+        if (changes.entry(StoreKeys.CONFIG_HEAD).isEmpty()
+                || !readHead(changes, turn).exists(this::wanted)) {
+            return;
+        }
+        Optional<ConfigDocument> next = ConfigStoreCodec.advance(tables.document(), changes);
+        next.ifPresentOrElse(document -> apply(document, "watch", turn), () -> readStore(turn));
+    }
+
+    private boolean wanted(Revision revision) {
+        return revision.after(tables.document().revision()) && revision.after(rejected);
+    }
+
+    private void readStore(Turn turn) {
+        if (turn.now() >= readUntilMillis) {
+            readUntilMillis = turn.now() + READ_TIMEOUT_MS;
+            turn.out().accept(new ControlOutput.ReadStore(StoreKeys.CONFIG));
         }
     }
 
     private void digest(InstanceId from, Digest digest, Turn turn) {
-        Revision held = tables.document().revision();
-        if (digest.config().after(held)) {
-            turn.send(from, new ConfigRequest(held));
-        } else if (held.after(digest.config())) {
-            answer(from, digest.config(), turn);
+        if (!wanted(digest.config())) {
+            return;
+        }
+        if (turn.now() >= requestedUntilMillis) {
+            request(from, tables.document().revision(), turn);
         }
+        ahead = new Ahead(from, digest.config());
+    }
+
+    private void request(InstanceId from, Revision have, Turn turn) {
+        requestedUntilMillis = turn.now() + REQUEST_TIMEOUT_MS;
+        turn.send(from, new ConfigRequest(have));
     }
 
     private void answer(InstanceId to, Revision have, Turn turn) {
-        ConfigDocument document = tables.document();
-        if (!document.revision().after(have)) {
-            return;
+        if (tables.document().revision().after(have)) {
+            turn.send(to, deltas.between(have, tables.document()));
         }
-        Map<String, ConfigFile> changed = document.files().entrySet().stream()
-                .filter(entry -> entry.getValue().revision().after(have))
-                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-        List<String> kept = document.files().keySet().stream().sorted().toList();
-        turn.send(to, new ConfigDelta(have, document.revision(), document.publication(), changed, kept));
     }
 
     private void delta(InstanceId from, ConfigDelta delta, Turn turn) {
-        ConfigDocument held = tables.document();
-        if (!delta.revision().after(held.revision()) || delta.base().after(held.revision())) {
+        if (!wanted(delta.revision())) {
             return;
         }
-        Map<String, ConfigFile> files = new HashMap<>(held.files());
-        files.keySet().retainAll(delta.kept());
-        files.putAll(delta.changed());
-        apply(new ConfigDocument(delta.revision(), delta.publication(), files), from.value(), turn);
+        Optional<ConfigDocument> next = ConfigDeltas.apply(tables.document(), delta);
+        if (next.isPresent()) {
+            requestedUntilMillis = Long.MIN_VALUE;
+            apply(next.get(), from.value(), turn);
+        } else if (!delta.base().equals(Revision.NONE)) {
+            request(from, Revision.NONE, turn);
+        }
     }
 
     private void apply(ConfigDocument document, String source, Turn turn) {
-        if (!document.revision().after(tables.document().revision())) {
+        if (!wanted(document.revision())) {
             return;
         }
+        ConfigDocument old = tables.document();
         Either<List<ConfigFault>, FleetConfig> parsed = ConfigParser.parse(document.texts());
-        parsed.peek(config -> tables.apply(document, config));
-        parsed.peek(config -> turn.changed("revision-applied", document.revision() + " from " + source));
-        parsed.peekLeft(faults -> turn.changed("revision-rejected", document.revision() + ": " + faults));
+        if (parsed.isLeft()) {
+            rejected = document.revision();
+            turn.changed("revision-rejected", document.revision() + ": " + parsed.getLeft());
+            return;
+        }
+        tables.apply(document, parsed.get());
+        deltas.replaced(old, document);
+        turn.changed("revision-applied", document.revision() + " from " + source);
     }
 }
--- a/org.cuminspur/src/org/cuminspur/control/system/GossipSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/GossipSystem.java
@@ -1,33 +1,46 @@
 package org.cuminspur.control.system;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.cuminspur.control.ControlSystem;
 import org.cuminspur.control.InputHandlers;
-import org.cuminspur.control.PeerRow;
 import org.cuminspur.control.Tables;
 import org.cuminspur.control.Turn;
 import org.cuminspur.control.message.PeerMessage.Digest;
 import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.Revision;
 import org.cuminspur.internal.config.OrderCodec;
 
 /**
- * Tells a few peers, drawn anew at each interval, what this router holds.
+ * Tells peers what this router holds: a few at once after a change, and one drawn anew at each interval.
  *
- * <p>Used on the control thread only. The bytes sent do not depend on the size of the fleet.
+ * <p>Used on the control thread only. The bytes sent do not depend on the size of the fleet, but for the names of
+ * routers, and pushes after changes are bounded per second however many changes there are.
  */
 public final class GossipSystem implements ControlSystem {
-    private static final long INTERVAL_MS = 500;
-    private static final int FANOUT = 3;
+    private static final long EXCHANGE_INTERVAL_MS = 1_000;
+    private static final long PUSH_INTERVAL_MS = 200;
+    private static final int PUSH_ROUNDS = 5;
+    private static final long MAX_AGE_MS = 3_600_000;
+
+    private record Held(Revision config, long orders) {}
 
     private final Tables tables;
-    private final RandomGenerator random;
-    private long nextMillis = Long.MIN_VALUE;
+    private final PeerDraw draw;
+    private final SilenceDetector silence;
+    private Held pushed = new Held(Revision.NONE, 0);
+    private int pushRounds;
+    private long nextPushMillis = Long.MIN_VALUE;
+    private long nextExchangeMillis = Long.MIN_VALUE;
 
     public GossipSystem(Tables tables, RandomGenerator random) {
         this.tables = tables;
-        this.random = random;
+        this.draw = new PeerDraw(tables, random);
+        this.silence = new SilenceDetector(tables, draw);
     }
 
     @Override
@@ -37,31 +50,123 @@
 
     @Override
     public void tick(Turn turn) {
-        if (turn.now() < nextMillis) {
-            return;
+        Held held = held();
+        if (!held.equals(pushed)) {
+            pushed = held;
+            pushRounds = PUSH_ROUNDS;
+        }
+        if (pushRounds > 0 && turn.now() >= nextPushMillis) {
+            pushRounds--;
+            nextPushMillis = turn.now() + PUSH_INTERVAL_MS;
+            Digest digest = digest(held, false, turn.now());
+            draw.pair(turn.now()).forEach(peer -> turn.send(peer, digest));
+        }
+        if (turn.now() >= nextExchangeMillis) {
+            nextExchangeMillis = turn.now() + EXCHANGE_INTERVAL_MS;
+            Collection<InstanceId> peers = silence.next(turn);
+            Digest digest = digest(held, true, turn.now());
+            peers.forEach(peer -> turn.send(peer, digest));
         }
-        nextMillis = turn.now() + INTERVAL_MS;
-        Digest digest = new Digest(
-                tables.self().domain(),
-                tables.document().revision(),
-                OrderCodec.hash(tables.orders()),
-                tables.stopping());
-        draw().forEach(peer -> turn.send(peer, digest));
     }
 
     private void heard(InstanceId from, Digest digest, Turn turn) {
-        PeerRow peer = tables.peer(from);
-        if (peer != null) {
-            peer.heard(turn.now(), digest.config(), digest.stopping());
+        silence.heard(from, digest, turn);
+        if (digest.reply() || tables.document().revision().after(digest.config())) {
+            turn.send(from, digest(held(), false, turn.now()));
         }
     }
 
-    private List<InstanceId> draw() {
-        List<InstanceId> all = new ArrayList<>(tables.peers().map(PeerRow::id).toList());
-        List<InstanceId> drawn = new ArrayList<>();
-        while (drawn.size() < FANOUT && !all.isEmpty()) {
-            drawn.add(all.remove(random.nextInt(all.size())));
+    private Held held() {
+        return new Held(tables.document().revision(), OrderCodec.hash(tables.orders()));
+    }
+
+    private Digest digest(Held held, boolean reply, long now) {
+        return new Digest(
+                tables.self().domain(),
+                held.config(),
+                held.orders(),
+                tables.stopping(),
+                reply,
+                Math.max(0, Math.min(MAX_AGE_MS, tables.storeAgeMillis(now))),
+                silence.lost(now));
+    }
+
+    /** Finds peers that do not answer, by asking one at a time; used on the control thread only. */
+    private static final class SilenceDetector {
+        private static final int MAX_MISSES = 3;
+        private static final int MAX_SUSPECTS = 16;
+        private static final int MAX_TOLD = 3;
+        private static final long SILENCE_MS = 60_000;
+        private static final long TOLD_MS = 10_000;
+        private static final long RECENT_MS = 5_000;
+
+        private record Lost(InstanceId peer, long atMillis) {}
+
+        private final Tables tables;
+        private final PeerDraw draw;
+        private final Deque<InstanceId> suspects = new ArrayDeque<>();
+        private final Deque<Lost> lost = new ArrayDeque<>();
+        private InstanceId asked;
+        private long askedMillis;
+        private int misses;
+
+        SilenceDetector(Tables tables, PeerDraw draw) {
+            this.tables = tables;
+            this.draw = draw;
+        }
+
+        /** Settles the last question and returns the peers to ask now. */
+        Collection<InstanceId> next(Turn turn) {
+            settle(turn);
+            List<InstanceId> peers = new ArrayList<>();
+            if (asked == null) {
+                misses = 0;
+                askedMillis = turn.now();
+                asked = suspects.isEmpty() ? draw.any(turn.now()).orElse(null) : suspects.poll();
+            } else {
+                draw.any(turn.now()).filter(peer -> !peer.equals(asked)).ifPresent(peers::add);
+            }
+            if (asked != null) {
+                peers.add(asked);
+            }
+            return peers;
+        }
+
+        /** Returns peers that have just stopped answering. */
+        List<InstanceId> lost(long now) {
+            lost.removeIf(one -> now - one.atMillis() > TOLD_MS);
+            return lost.stream().limit(MAX_TOLD).map(Lost::peer).toList();
+        }
+
+        void heard(InstanceId from, Digest digest, Turn turn) {
+            if (tables.peer(from) != null) {
+                tables.peer(from).heard(turn.now(), digest.config(), digest.stopping());
+            }
+            digest.lost().stream()
+                    .filter(peer -> suspect(peer, turn.now()))
+                    .limit(MAX_SUSPECTS - suspects.size())
+                    .forEach(suspects::add);
+        }
+
+        private boolean suspect(InstanceId peer, long now) {
+            return tables.peer(peer) != null
+                    && tables.peer(peer).live(now)
+                    && tables.peer(peer).heardMillis() < now - RECENT_MS
+                    && !suspects.contains(peer);
+        }
+
+        private void settle(Turn turn) {
+            if (asked == null) {
+                return;
+            }
+            if (tables.peer(asked) == null || tables.peer(asked).heardMillis() >= askedMillis) {
+                asked = null;
+            } else if (++misses >= MAX_MISSES) {
+                tables.peer(asked).silent(turn.now() + SILENCE_MS);
+                lost.addFirst(new Lost(asked, turn.now()));
+                turn.changed("peer-silent", asked.value());
+                asked = null;
+            }
         }
-        return drawn;
     }
 }
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/system/PeerDraw.java
@@ -0,0 +1,40 @@
+package org.cuminspur.control.system;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.cuminspur.control.PeerRow;
+import org.cuminspur.control.Tables;
+import org.cuminspur.id.InstanceId;
+
+/** Draws live peers at random to talk to; used on the control thread only. */
+final class PeerDraw {
+    private final Tables tables;
+    private final RandomGenerator random;
+
+    PeerDraw(Tables tables, RandomGenerator random) {
+        this.tables = tables;
+        this.random = random;
+    }
+
+    /** Returns any live peer. */
+    Optional<InstanceId> any(long now) {
+        return one(now, peer -> true);
+    }
+
+    /** Returns one peer of the own failure domain and one of any, so that news spreads within a domain cut off. */
+    Stream<InstanceId> pair(long now) {
+        Optional<InstanceId> near =
+                one(now, peer -> peer.domain().equals(tables.self().domain()));
+        return Stream.of(near, any(now)).flatMap(Optional::stream).distinct();
+    }
+
+    private Optional<InstanceId> one(long now, Predicate<PeerRow> wanted) {
+        List<PeerRow> peers = tables.livePeers(now).filter(wanted).toList();
+        return peers.isEmpty()
+                ? Optional.empty()
+                : Optional.of(peers.get(random.nextInt(peers.size())).id());
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/system/StoreWatchSystem.java
@@ -0,0 +1,119 @@
+package org.cuminspur.control.system;
+
+import java.util.random.RandomGenerator;
+import org.cuminspur.control.ControlInput;
+import org.cuminspur.control.ControlOutput;
+import org.cuminspur.control.ControlSystem;
+import org.cuminspur.control.InputHandlers;
+import org.cuminspur.control.Tables;
+import org.cuminspur.control.Turn;
+import org.cuminspur.control.message.PeerMessage.Digest;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.store.StoreKeys;
+
+/**
+ * Decides when this router watches and reads the platform's store on behalf of its failure domain.
+ *
+ * <p>Used on the control thread only. The routers that a rendezvous hash over the domain's live routers names hold a
+ * watch, and read the small part of the keys at every interval, in case the watch has silently stopped. If the fleet's
+ * newest reading is old, each router reads now and then at a rate that falls with the size of the fleet, so that lists
+ * that disagree on who holds the watch cost no more than a short delay.
+ */
+public final class StoreWatchSystem implements ControlSystem {
+    private static final int HOLDERS_PER_DOMAIN = 3;
+    private static final long READ_INTERVAL_MS = 1_000;
+    private static final long REPLY_TIMEOUT_MS = 3_000;
+    private static final long WATCH_BACKOFF_MS = 1_000;
+    private static final long LIST_WAIT_MS = 1_500;
+    private static final long STALE_MS = 2_000;
+    private static final long TICK_MS = 100;
+    private static final double FALLBACK_READS_PER_SECOND = 4;
+    private static final long DUTY = Rendezvous.hash("store-watch");
+
+    private final Tables tables;
+    private final RandomGenerator random;
+    private long firstTickMillis = Long.MAX_VALUE;
+    private long nextReadMillis = Long.MIN_VALUE;
+    private long nextWatchMillis = Long.MIN_VALUE;
+    private boolean holding;
+    private boolean watching;
+
+    public StoreWatchSystem(Tables tables, RandomGenerator random) {
+        this.tables = tables;
+        this.random = random;
+    }
+
+    @Override
+    public void register(InputHandlers handlers) {
+        handlers.on(ControlInput.StoreRead.class, this::storeRead);
+        handlers.on(ControlInput.StoreChanged.class, (input, turn) -> tables.storeSeen(turn.now()));
+        handlers.on(ControlInput.WatchEnded.class, this::watchEnded);
+        handlers.onPeer(Digest.class, (from, digest, turn) -> tables.storeSeen(turn.now() - digest.storeAgeMillis()));
+    }
+
+    @Override
+    public void tick(Turn turn) {
+        firstTickMillis = Math.min(firstTickMillis, turn.now());
+        boolean holder = holder(turn.now());
+        if (holding && !holder) {
+            release(turn);
+        }
+        holding = holder;
+        if (turn.now() >= nextReadMillis && (holding || fallback(turn.now()))) {
+            nextReadMillis = turn.now() + REPLY_TIMEOUT_MS;
+            turn.out().accept(new ControlOutput.ReadStore(StoreKeys.CURRENT));
+        }
+    }
+
+    private boolean holder(long now) {
+        boolean listed = tables.peers().findAny().isPresent() || now - firstTickMillis >= LIST_WAIT_MS;
+        double own = score(tables.self().id());
+        return listed
+                && !tables.stopping()
+                && tables.livePeers(now)
+                                .filter(peer ->
+                                        peer.domain().equals(tables.self().domain()))
+                                .filter(peer -> score(peer.id()) > own)
+                                .count()
+                        < HOLDERS_PER_DOMAIN;
+    }
+
+    private static double score(InstanceId id) {
+        return Rendezvous.score(DUTY, Rendezvous.hash(id.value()), 1);
+    }
+
+    private boolean fallback(long now) {
+        double routers = 1 + tables.livePeers(now).count();
+        return tables.storeAgeMillis(now) > STALE_MS
+                && random.nextDouble() < FALLBACK_READS_PER_SECOND * TICK_MS / 1_000 / routers;
+    }
+
+    private void storeRead(ControlInput.StoreRead input, Turn turn) {
+        if (input.prefix().equals(StoreKeys.CURRENT)) {
+            nextReadMillis = turn.now() + READ_INTERVAL_MS;
+        }
+        input.reply().forEach(view -> {
+            tables.storeSeen(turn.now());
+            if (holding && !watching && turn.now() >= nextWatchMillis) {
+                watching = true;
+                turn.out().accept(new ControlOutput.StartWatch(StoreKeys.CONFIG, view.revision()));
+            }
+        });
+    }
+
+    private void watchEnded(ControlInput.WatchEnded input, Turn turn) {
+        if (input.prefix().equals(StoreKeys.CONFIG)) {
+            watching = false;
+            nextWatchMillis = turn.now() + WATCH_BACKOFF_MS;
+        }
+    }
+
+    private void release(Turn turn) {
+        if (watching) {
+            watching = false;
+            nextWatchMillis = turn.now() + WATCH_BACKOFF_MS;
+            turn.out().accept(new ControlOutput.StopWatch(StoreKeys.CONFIG));
+        }
+    }
+}
