Check spread of configuration and orders under faults in pairs

One checker for revisions that fall, accepted changes that are lost, and routers that are late; naive variants are shown to fail it.

--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/control/ConfigFleetTest.java
@@ -0,0 +1,187 @@
+package org.cuminspur.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.cuminspur.publish.PublishResult;
+import org.cuminspur.testing.MemoryFleet;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that accepted configuration is in force in time and never reverts, under faults singly and in pairs. */
+public class ConfigFleetTest {
+    private static final List<String> SMALL = List.of("milano", "torino", "verona");
+    private static final List<String> LARGE = List.of("a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2");
+    private static final long SETTLE_MS = 5_000;
+
+    /** A fault that is brought about while publications go on. */
+    enum Fault {
+        NONE(run -> {}),
+        LOSS(run -> run.fleet.links().lostShare(0.2)),
+        CROSS(run -> run.fleet.links().delay(1, 400)),
+        REPEAT(run -> run.fleet.links().repeatedShare(0.5)),
+        CUT(run -> run.cut("milano", "a1")),
+        FREEZE(run -> run.freeze("router-1", 6_000)),
+        HOLDERS_KILLED(Run::killWatchers),
+        LOST_REPLIES(run -> run.checker.publisherFaults().lostReplyShare(0.3)),
+        STALE_LIST(run -> run.fleet.listLag(8_000)),
+        STORE_DOWN_FOR_MOST(Run::storeDownForMost);
+
+        private final Consumer<Run> action;
+
+        Fault(Consumer<Run> action) {
+            this.action = action;
+        }
+    }
+
+    /** One fleet with its checker. */
+    private static final class Run {
+        private final MemoryFleet fleet;
+        private final OperatorChecker checker;
+
+        Run(long seed, int routers) {
+            fleet = new MemoryFleet(seed);
+            fleet.start(routers, routers > 6 ? LARGE : SMALL);
+            checker = new OperatorChecker(fleet);
+            fleet.run(SETTLE_MS);
+        }
+
+        void cut(String... domains) {
+            List<String> apart = List.of(domains);
+            fleet.links().cut((from, to) -> apart.contains(domain(from.value())) != apart.contains(domain(to.value())));
+        }
+
+        /** Leaves out the routers that reach neither the store nor a peer that does. */
+        void exceptCutOff(Fault one, Fault other) {
+            if (one == Fault.CUT && other == Fault.STORE_DOWN_FOR_MOST) {
+                checker.reachable(router -> !domain(router.id().value()).matches("milano|a1"));
+            }
+        }
+
+        String domain(String router) {
+            return fleet.router(router).self().domain().value();
+        }
+
+        void freeze(String name, long millis) {
+            fleet.router(name).freeze();
+            fleet.time().after(millis, () -> fleet.router(name).wake());
+        }
+
+        void killWatchers() {
+            fleet.routers()
+                    .filter(router -> router.store().watches() > 0)
+                    .filter(router -> domain(router.id().value()).matches("milano|a1|a2"))
+                    .toList()
+                    .forEach(router -> fleet.kill(router.id().value()));
+        }
+
+        void storeDownForMost() {
+            fleet.routers()
+                    .filter(router -> !domain(router.id().value()).matches("verona|c2"))
+                    .forEach(router -> router.store().faults().outage(true));
+        }
+
+        void publish(int count, int files, long spacingMillis) {
+            for (int i = 0; i < count; i++) {
+                String name = "service-" + i % files + ".ini";
+                String text = "[service s" + i % files + "]\nkind = plain\n# " + i + "\n";
+                String publication = "publication-" + i;
+                fleet.time().after(i * spacingMillis, () -> checker.publish(publication, name, text));
+            }
+        }
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return pairs(Fault.values());
+    }
+
+    /** Returns each fault alone and with each other. */
+    static <F extends Enum<F>> Object[][] pairs(F[] faults) {
+        return Stream.of(faults)
+                .flatMap(one -> Stream.of(faults)
+                        .filter(other -> one.compareTo(other) <= 0)
+                        .map(other -> new Object[] {one, other}))
+                .toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "faults")
+    public void sixRoutersConvergeAndNeverRevert(Fault one, Fault other) {
+        for (long seed = 1; seed <= 5; seed++) {
+            Run run = new Run(seed, 6);
+            one.action.accept(run);
+            other.action.accept(run);
+            run.exceptCutOff(one, other);
+            run.publish(20, 7, 300);
+            run.fleet.run(30_000);
+            assertEquals(run.checker.violations(), List.of(), one + " with " + other + ", seed " + seed);
+            assertEquals(run.checker.results().size(), 20);
+        }
+    }
+
+    @DataProvider
+    public Object[][] faultsOfManyRouters() {
+        Stream<Object[]> single = Stream.of(Fault.values()).map(fault -> new Object[] {Fault.NONE, fault});
+        Stream<Object[]> pairs = Stream.of(
+                new Object[] {Fault.LOSS, Fault.HOLDERS_KILLED},
+                new Object[] {Fault.CUT, Fault.STORE_DOWN_FOR_MOST},
+                new Object[] {Fault.CROSS, Fault.FREEZE},
+                new Object[] {Fault.HOLDERS_KILLED, Fault.STALE_LIST});
+        return Stream.concat(single, pairs).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "faultsOfManyRouters")
+    public void manyRoutersConvergeAndNeverRevert(Fault one, Fault other) {
+        Run run = new Run(7, 360);
+        one.action.accept(run);
+        other.action.accept(run);
+        run.exceptCutOff(one, other);
+        run.publish(3, 3, 1_500);
+        run.fleet.run(9_000);
+        assertEquals(run.checker.violations(), List.of(), one + " with " + other);
+        assertEquals(run.checker.results().size(), 3);
+    }
+
+    @Test
+    public void releasedFreezeLosesNoAcceptedChange() {
+        Run run = new Run(11, 6);
+        run.checker.publisherFaults().lostReplyShare(0.1);
+        run.publish(300, 250, 0);
+        run.fleet.run(130_000);
+        assertEquals(run.checker.violations(), List.of());
+        assertEquals(run.checker.results().size(), 300);
+        long conflicts = run.checker.results().values().stream()
+                .filter(PublishResult.Conflict.class::isInstance)
+                .count();
+        long published = run.checker.results().values().stream()
+                .filter(PublishResult.Published.class::isInstance)
+                .count();
+        assertEquals(published + conflicts, 300, run.checker.results().toString());
+        assertTrue(published >= 250, "published " + published);
+    }
+
+    @Test
+    public void startedWhileTheStoreIsDownTakesWhatPeersHold() {
+        Run run = new Run(13, 6);
+        run.publish(3, 3, 100);
+        run.fleet.run(5_000);
+        run.fleet.routers().forEach(router -> router.store().faults().outage(true));
+        run.fleet.start("late", "torino").store().faults().outage(true);
+        assertFalse(run.fleet.router("late").core().snapshot().ready());
+        run.fleet.run(4_000);
+        assertEquals(run.fleet.router("late").core().snapshot().revision().value(), 3);
+        assertTrue(run.fleet.router("late").core().snapshot().ready());
+    }
+
+    @Test
+    public void startedAloneWhileTheStoreIsDownIsNotReady() {
+        MemoryFleet fleet = new MemoryFleet(17);
+        fleet.start("alone", "torino").store().faults().outage(true);
+        fleet.run(10_000);
+        assertFalse(fleet.router("alone").core().snapshot().ready());
+    }
+}
--- a/org.cuminspur.test/tst/org/cuminspur/control/ControlFleetTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/control/ControlFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.cuminspur.control.Target.Kind;
 import org.cuminspur.id.Revision;
+import org.cuminspur.publish.Backoff;
 import org.cuminspur.publish.PublishResult;
 import org.cuminspur.publish.Publisher;
 import org.cuminspur.testing.MemoryFleet;
@@ -34,6 +35,7 @@
                         "publication-1",
                         Map.of("stock.ini", "[service stock]\nkind = plain\n"),
                         Set.of(),
+                        new Backoff(fleet.time().clock(), fleet.time()::after, fleet.random(), 10_000),
                         result::set)
                 .call();
         fleet.run(4_000);
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/control/NaiveControlTest.java
@@ -0,0 +1,228 @@
+package org.cuminspur.control;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.cuminspur.control.message.PeerMessage.Digest;
+import org.cuminspur.control.message.PeerMessage.Orders;
+import org.cuminspur.control.system.ConfigSystem;
+import org.cuminspur.control.system.GossipSystem;
+import org.cuminspur.control.system.LeavingSystem;
+import org.cuminspur.control.system.MembershipSystem;
+import org.cuminspur.control.system.OrderSystem;
+import org.cuminspur.control.system.StoreWatchSystem;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.store.Store;
+import org.cuminspur.store.StoreFault;
+import org.cuminspur.store.StoreKeys;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.Txn;
+import org.cuminspur.store.TxnResult;
+import org.cuminspur.testing.MemoryFleet;
+import org.testng.annotations.Test;
+
+/** Shows that {@link OperatorChecker} reports the violations of naive variants, so that no check is idle. */
+public class NaiveControlTest {
+    private static final List<String> DOMAINS = List.of("milano", "torino", "verona");
+
+    /** Takes over whatever revision it heard last. */
+    private static final class LastWriterSystem implements ControlSystem {
+        private long revision;
+
+        @Override
+        public void register(InputHandlers handlers) {
+            handlers.onPeer(
+                    Digest.class,
+                    (from, digest, turn) -> revision = digest.config().value());
+        }
+
+        @Override
+        public void tick(Turn turn) {}
+    }
+
+    /** Reads the whole configuration now and then, and learns nothing from peers. */
+    private record PollingSystem(long intervalMillis, Map<String, Long> next) implements ControlSystem {
+        @Override
+        public void tick(Turn turn) {
+            if (turn.now() >= next.getOrDefault("next", 0L)) {
+                next.put("next", turn.now() + intervalMillis);
+                turn.out().accept(new ControlOutput.ReadStore(StoreKeys.CONFIG));
+            }
+        }
+    }
+
+    /** Numbers orders by what this router holds, and lets the last one heard win. */
+    private record CountingOrderSystem(Tables tables) implements ControlSystem {
+        @Override
+        public void register(InputHandlers handlers) {
+            handlers.on(ControlInput.OrderGiven.class, this::given);
+            handlers.onPeer(
+                    Orders.class, (from, message, turn) -> message.orders().forEach(tables::merge));
+            handlers.onPeer(
+                    Digest.class,
+                    (from, digest, turn) ->
+                            turn.send(from, new Orders(tables.orders().toList(), false)));
+        }
+
+        @Override
+        public void tick(Turn turn) {}
+
+        private void given(ControlInput.OrderGiven input, Turn turn) {
+            Order held = tables.order(input.target());
+            long generation = held == null ? 1 : held.generation() + 1;
+            tables.merge(new Order(input.target(), generation, input.out(), input.by()));
+        }
+    }
+
+    /** Writes without conditions. */
+    private record UnconditionalStore(Store store) implements Store {
+        @Override
+        public void range(String prefix, Consumer<Either<StoreFault, StoreView>> reply) {
+            store.range(prefix, reply);
+        }
+
+        @Override
+        public void commit(Txn txn, Consumer<Either<StoreFault, TxnResult>> reply) {
+            store.commit(new Txn(List.of(), txn.puts(), txn.deletes()), reply);
+        }
+
+        @Override
+        public Watch watch(String prefix, long afterRevision, Consumer<StoreView> changes, Runnable ended) {
+            return store.watch(prefix, afterRevision, changes, ended);
+        }
+
+        @Override
+        public void grantLease(long ttlSeconds, Consumer<Either<StoreFault, Long>> reply) {
+            store.grantLease(ttlSeconds, reply);
+        }
+
+        @Override
+        public void keepAlive(long lease, Consumer<Either<StoreFault, Long>> reply) {
+            store.keepAlive(lease, reply);
+        }
+    }
+
+    /** Returns a fleet whose routers run some of the usual systems and some of the test's own. */
+    private static MemoryFleet fleet(long seed, Predicate<ControlSystem> kept, Function<Tables, ControlSystem> own) {
+        MemoryFleet fleet = new MemoryFleet(seed);
+        fleet.cores((self, random) -> new ControlCore(
+                self,
+                tables -> Stream.concat(
+                                ControlCore.systems(tables, random).stream().filter(kept), Stream.of(own.apply(tables)))
+                        .toList()));
+        return fleet;
+    }
+
+    private static boolean isAny(ControlSystem system, Class<?>... kinds) {
+        return Stream.of(kinds).anyMatch(kind -> kind.isInstance(system));
+    }
+
+    private static void publishSome(MemoryFleet fleet, OperatorChecker checker) {
+        for (int i = 0; i < 20; i++) {
+            String text = "[service s" + i + "]\nkind = plain\n";
+            String publication = "publication-" + i;
+            String file = "s" + i + ".ini";
+            fleet.time().after(i * 200L, () -> checker.publish(publication, file, text));
+        }
+        fleet.run(30_000);
+    }
+
+    private static void assertReported(OperatorChecker checker, String wanted) {
+        List<String> violations = checker.violations();
+        assertTrue(violations.stream().anyMatch(text -> text.contains(wanted)), violations.toString());
+    }
+
+    @Test
+    public void lastWriterWinsFallsBack() {
+        Map<InstanceId, LastWriterSystem> naive = new HashMap<>();
+        MemoryFleet fleet = fleet(71, system -> true, tables -> {
+            naive.put(tables.self().id(), new LastWriterSystem());
+            return naive.get(tables.self().id());
+        });
+        fleet.start(6, DOMAINS);
+        fleet.links().delay(1, 400);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        checker.revision(router -> naive.get(router.id()).revision);
+        publishSome(fleet, checker);
+        assertReported(checker, " fell from ");
+    }
+
+    @Test
+    public void pollingAloneIsLate() {
+        MemoryFleet fleet = fleet(
+                73,
+                system -> isAny(system, MembershipSystem.class, ConfigSystem.class),
+                tables -> new PollingSystem(10_000, new HashMap<>()));
+        fleet.start(6, DOMAINS);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        publishSome(fleet, checker);
+        assertReported(checker, "is not in force in time");
+    }
+
+    @Test
+    public void watchWithoutGossipIsLateWhereTheStoreIsDown() {
+        MemoryFleet fleet = fleet(
+                79,
+                system -> isAny(system, MembershipSystem.class, ConfigSystem.class),
+                tables -> new StoreWatchSystem(tables, new java.util.Random(79)));
+        fleet.start(6, DOMAINS);
+        fleet.run(5_000);
+        fleet.router("router-1").store().faults().outage(true);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        publishSome(fleet, checker);
+        assertReported(checker, "is not in force in time");
+    }
+
+    @Test
+    public void unconditionalWritesLoseAcceptedChanges() {
+        MemoryFleet fleet = new MemoryFleet(83);
+        fleet.start(6, DOMAINS);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        for (int i = 0; i < 20; i++) {
+            String text = "[service s" + i + "]\nkind = plain\n";
+            checker.publish(new UnconditionalStore(checker.store()), "publication-" + i, "s" + i + ".ini", text);
+        }
+        fleet.run(10_000);
+        assertReported(checker, "is lost");
+    }
+
+    @Test
+    public void ordersKeptOnlyInTheStoreComeLate() {
+        MemoryFleet fleet = fleet(
+                89,
+                system -> isAny(
+                        system, MembershipSystem.class, StoreWatchSystem.class, ConfigSystem.class, GossipSystem.class),
+                CountingOrderSystem::new);
+        OrderFleetTest.fleet(fleet, 6);
+        fleet.links().cut((from, to) -> true);
+        OrderFleetTest.storeDown(fleet);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        OrderFleetTest.give(fleet, "router-0", new Target(Target.Kind.DOMAIN, "verona"), true, "one");
+        checker.requireUnused("booking-verona");
+        fleet.run(10_000);
+        assertReported(checker, "still uses");
+    }
+
+    @Test
+    public void countedGenerationsLoseTheLaterOrder() {
+        Target verona = new Target(Target.Kind.DOMAIN, "verona");
+        MemoryFleet fleet = fleet(97, system -> !isAny(system, OrderSystem.class), CountingOrderSystem::new);
+        OrderFleetTest.fleet(fleet, 6);
+        assertFalse(OrderFleetTest.laterOrderWins(fleet, verona));
+    }
+
+    @Test
+    public void ownListAloneIsLateForLeavingUpstreams() {
+        MemoryFleet fleet = fleet(101, system -> !isAny(system, LeavingSystem.class), tables -> new LastWriterSystem());
+        OperatorChecker checker = OrderFleetTest.leaving(fleet, 6, OrderFleetTest.Fault.STALE_LIST);
+        assertReported(checker, "still uses");
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/control/OperatorChecker.java
@@ -0,0 +1,200 @@
+package org.cuminspur.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
+import org.cuminspur.config.ConfigDocument;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.Revision;
+import org.cuminspur.internal.config.ConfigStoreCodec;
+import org.cuminspur.publish.Backoff;
+import org.cuminspur.publish.PublishResult;
+import org.cuminspur.publish.Publisher;
+import org.cuminspur.store.Store;
+import org.cuminspur.store.StoreKeys;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryRouter;
+import org.cuminspur.testing.MemoryStore;
+import org.cuminspur.testing.StoreFaults;
+
+/**
+ * Checks what operators were promised: accepted publications are in force in time and last, orders hold in time.
+ *
+ * <p>Used by one thread. Collects violations instead of throwing, so that a naive variant can be shown to have some.
+ */
+final class OperatorChecker {
+    static final long BOUND_MS = 4_000;
+
+    private static final long SAMPLE_MS = 50;
+
+    private record Accepted(Revision revision, String text) {}
+
+    private final MemoryFleet fleet;
+    private final List<String> violations = new ArrayList<>();
+    private final Map<InstanceId, Long> newest = new HashMap<>();
+    private final Map<InstanceId, Long> hiddenMillis = new HashMap<>();
+    private final Map<String, Accepted> files = new TreeMap<>();
+    private final Map<String, PublishResult> results = new TreeMap<>();
+    private final StoreFaults publisherFaults = new StoreFaults();
+    private ToLongFunction<MemoryRouter> revision =
+            router -> router.core().snapshot().revision().value();
+    private Predicate<MemoryRouter> reachable = router -> true;
+    private long worstSpreadMillis;
+    private long publisherCalls;
+
+    OperatorChecker(MemoryFleet fleet) {
+        this.fleet = fleet;
+        fleet.time().every(SAMPLE_MS, this::sample);
+    }
+
+    /** Sets how a router's revision is read. */
+    void revision(ToLongFunction<MemoryRouter> reader) {
+        revision = reader;
+    }
+
+    /** Sets which routers are not cut off; frozen ones never count. */
+    void reachable(Predicate<MemoryRouter> predicate) {
+        reachable = predicate;
+    }
+
+    /** Returns the faults that publishers meet at the store. */
+    StoreFaults publisherFaults() {
+        return publisherFaults;
+    }
+
+    Map<String, PublishResult> results() {
+        return results;
+    }
+
+    long worstSpreadMillis() {
+        return worstSpreadMillis;
+    }
+
+    long publisherCalls() {
+        return publisherCalls;
+    }
+
+    MemoryStore store() {
+        return new MemoryStore(fleet.time(), fleet.random(), fleet.table(), publisherFaults);
+    }
+
+    /** Publishes one file as a publisher of its own. */
+    void publish(String publication, String file, String text) {
+        publish(store(), publication, file, text);
+    }
+
+    void publish(Store store, String publication, String file, String text) {
+        Backoff backoff = new Backoff(fleet.time().clock(), fleet.time()::after, fleet.random(), 120_000);
+        new Publisher(
+                        store,
+                        publication,
+                        Map.of(file, text),
+                        Set.of(),
+                        backoff,
+                        result -> ended(publication, file, text, result, store))
+                .call();
+    }
+
+    /** Requires that from the bound on, no router that is not cut off places work on the upstream. */
+    void requireUnused(String upstream) {
+        fleet.time()
+                .after(
+                        BOUND_MS,
+                        () -> fleet.routers()
+                                .filter(router -> !router.frozen() && reachable.test(router))
+                                .filter(router -> uses(router, upstream))
+                                .forEach(router -> violations.add(router.id() + " still uses " + upstream)));
+    }
+
+    static boolean uses(MemoryRouter router, String upstream) {
+        return router.core().snapshot().upstreams().values().stream()
+                .flatMap(set -> set.views())
+                .anyMatch(view -> view.id().value().equals(upstream));
+    }
+
+    /** Returns the violations, after a last look at the store. */
+    List<String> violations() {
+        ConfigDocument last = stored();
+        files.forEach((name, accepted) -> {
+            String text = last.texts().get(name);
+            if (!accepted.text().equals(text)) {
+                violations.add("accepted change of " + name + " by revision " + accepted.revision() + " is lost");
+            }
+        });
+        results.forEach((publication, result) -> {
+            if (result instanceof PublishResult.Conflict && landed(publication)) {
+                violations.add(publication + " was told it lost, but it was published");
+            }
+        });
+        return violations;
+    }
+
+    ConfigDocument stored() {
+        return ConfigStoreCodec.read(fleet.table().range(StoreKeys.CONFIG, "cuminspur/config0"));
+    }
+
+    private boolean landed(String publication) {
+        return fleet.table().range("cuminspur/publication/", "cuminspur/publication0").entries().stream()
+                .anyMatch(entry -> entry.value().equals(publication));
+    }
+
+    private void ended(String publication, String file, String text, PublishResult result, Store store) {
+        results.put(publication, result);
+        if (store instanceof MemoryStore memory) {
+            publisherCalls += memory.reads() + memory.writes();
+        }
+        if (result instanceof PublishResult.Published published) {
+            files.merge(
+                    file,
+                    new Accepted(published.revision(), text),
+                    (old, fresh) -> fresh.revision().after(old.revision()) ? fresh : old);
+            inForce(published.revision().value(), fleet.time().now());
+        }
+    }
+
+    private void inForce(long number, long since) {
+        fleet.time().every(SAMPLE_MS, () -> {
+            List<MemoryRouter> behind = fleet.routers()
+                    .filter(router -> revision.applyAsLong(router) < number)
+                    .toList();
+            List<MemoryRouter> late = behind.stream()
+                    .filter(router -> availableFor(router, since) >= BOUND_MS)
+                    .toList();
+            if (!late.isEmpty()) {
+                violations.add("revision " + number + " is not in force in time on " + late.size() + " routers");
+            }
+            if (behind.stream().anyMatch(router -> !hidden(router))) {
+                worstSpreadMillis = Math.max(worstSpreadMillis, fleet.time().now() - since);
+            }
+            return !behind.isEmpty() && late.isEmpty();
+        });
+    }
+
+    /** Returns for how long a router has been neither frozen nor cut off, counted from {@code since} at the earliest. */
+    private long availableFor(MemoryRouter router, long since) {
+        return fleet.time().now() - Math.max(since, hiddenMillis.getOrDefault(router.id(), 0L));
+    }
+
+    private boolean hidden(MemoryRouter router) {
+        return router.frozen() || !reachable.test(router);
+    }
+
+    private boolean sample() {
+        fleet.routers()
+                .filter(this::hidden)
+                .forEach(router -> hiddenMillis.put(router.id(), fleet.time().now()));
+        fleet.routers().filter(router -> !router.frozen()).forEach(router -> {
+            long now = revision.applyAsLong(router);
+            if (now < newest.getOrDefault(router.id(), 0L)) {
+                violations.add(router.id() + " fell from " + newest.get(router.id()) + " to " + now);
+            }
+            newest.merge(router.id(), now, Math::max);
+        });
+        return true;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/control/OrderFleetTest.java
@@ -0,0 +1,227 @@
+package org.cuminspur.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.cuminspur.control.Target.Kind;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryRouter;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that orders and leaving upstreams hold in time on every router that is not cut off. */
+public class OrderFleetTest {
+    private static final List<String> SMALL = List.of("milano", "torino", "verona");
+    private static final List<String> LARGE = List.of("milano", "a2", "a3", "b1", "b2", "torino", "c1", "verona");
+    private static final Target VERONA = new Target(Kind.DOMAIN, "verona");
+
+    /** A fault that is brought about before the order is given. */
+    enum Fault {
+        NONE(fleet -> {}),
+        STORE_DOWN(OrderFleetTest::storeDown),
+        LOSS(fleet -> fleet.links().lostShare(0.2)),
+        CROSS(fleet -> fleet.links().delay(1, 400)),
+        REPEAT(fleet -> fleet.links().repeatedShare(0.5)),
+        STALE_LIST(fleet -> fleet.listLag(60_000)),
+        FREEZE(fleet -> {
+            fleet.router("router-1").freeze();
+            fleet.time().after(6_000, () -> fleet.router("router-1").wake());
+        });
+
+        private final Consumer<MemoryFleet> action;
+
+        Fault(Consumer<MemoryFleet> action) {
+            this.action = action;
+        }
+    }
+
+    static void storeDown(MemoryFleet fleet) {
+        fleet.routers().forEach(router -> router.store().faults().outage(true));
+    }
+
+    /** Returns a settled fleet with one upstream in each of three failure domains. */
+    static MemoryFleet fleet(MemoryFleet fleet, int routers) {
+        fleet.start(routers, routers > 6 ? LARGE : SMALL);
+        SMALL.forEach(domain -> fleet.upstream("booking-" + domain, "booking", domain));
+        fleet.run(2_000);
+        new OperatorChecker(fleet).publish("setup", "booking.ini", "[service booking]\nkind = plain\n");
+        fleet.run(4_000);
+        assertTrue(fleet.routers().allMatch(router -> OperatorChecker.uses(router, "booking-verona")));
+        return fleet;
+    }
+
+    static void give(MemoryFleet fleet, String router, Target target, boolean out, String by) {
+        fleet.router(router).accept(new ControlInput.OrderGiven(target, out, by));
+    }
+
+    static boolean out(MemoryRouter router) {
+        return router.core().tables().out(new FailureDomainId("verona"));
+    }
+
+    @DataProvider
+    public Object[][] faults() {
+        return ConfigFleetTest.pairs(Fault.values());
+    }
+
+    @Test(dataProvider = "faults")
+    public void takenOutDomainGetsNoNewWork(Fault one, Fault other) {
+        for (long seed = 21; seed <= 25; seed++) {
+            takeOut(new MemoryFleet(seed), 6, one, other);
+        }
+    }
+
+    @Test
+    public void takenOutDomainGetsNoNewWorkFromManyRouters() {
+        takeOut(new MemoryFleet(27), 360, Fault.STORE_DOWN, Fault.LOSS);
+    }
+
+    private static void takeOut(MemoryFleet fresh, int routers, Fault one, Fault other) {
+        MemoryFleet fleet = fleet(fresh, routers);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        one.action.accept(fleet);
+        other.action.accept(fleet);
+        give(fleet, "router-0", VERONA, true, "one");
+        checker.requireUnused("booking-verona");
+        fleet.run(12_000);
+        assertEquals(checker.violations(), List.of(), one + " with " + other);
+        fleet.routers().forEach(router -> {
+            assertEquals(
+                    router.core().snapshot().ready(),
+                    !router.self().domain().value().equals("verona"));
+            assertTrue(OperatorChecker.uses(router, "booking-milano"));
+        });
+    }
+
+    @Test(dataProvider = "faults")
+    public void leavingUpstreamGetsNoNewWork(Fault one, Fault other) {
+        for (long seed = 31; seed <= 35; seed++) {
+            leave(new MemoryFleet(seed), 6, one, other);
+        }
+    }
+
+    @Test
+    public void leavingUpstreamGetsNoNewWorkFromManyRouters() {
+        leave(new MemoryFleet(37), 360, Fault.STALE_LIST, Fault.LOSS);
+    }
+
+    private static void leave(MemoryFleet fresh, int routers, Fault one, Fault other) {
+        OperatorChecker checker = leaving(fresh, routers, one, other);
+        assertEquals(checker.violations(), List.of(), one + " with " + other);
+    }
+
+    /** Lets an upstream leave under faults and returns what the checker saw. */
+    static OperatorChecker leaving(MemoryFleet fresh, int routers, Fault... faults) {
+        MemoryFleet fleet = fleet(fresh, routers);
+        OperatorChecker checker = new OperatorChecker(fleet);
+        List.of(faults).forEach(fault -> fault.action.accept(fleet));
+        fleet.leave("booking-verona");
+        firstListed(fleet);
+        checker.requireUnused("booking-verona");
+        fleet.run(12_000);
+        return checker;
+    }
+
+    /** Runs until the list has told one router, which is what the bound counts from. */
+    private static void firstListed(MemoryFleet fleet) {
+        while (fleet.routers().allMatch(router -> OperatorChecker.uses(router, "booking-verona"))) {
+            fleet.run(50);
+        }
+    }
+
+    @Test
+    public void laterOrderWinsThoughItsRouterHadNotSeenTheEarlier() {
+        assertTrue(laterOrderWins(fleet(new MemoryFleet(41), 6), VERONA));
+    }
+
+    /** Takes a domain out twice, brings it back at a router that was cut off, and returns whether it is back. */
+    static boolean laterOrderWins(MemoryFleet fleet, Target domain) {
+        storeDown(fleet);
+        fleet.links()
+                .cut((from, to) -> from.value().equals("router-5") || to.value().equals("router-5"));
+        give(fleet, "router-0", domain, true, "one");
+        fleet.run(1_000);
+        give(fleet, "router-0", domain, true, "one again");
+        fleet.run(10_000);
+        give(fleet, "router-5", domain, false, "two");
+        fleet.links().cut((from, to) -> false);
+        fleet.run(4_000);
+        return fleet.routers().noneMatch(OrderFleetTest::out);
+    }
+
+    @Test
+    public void racingOrdersEndAlikeEverywhereWithTheDomainOut() {
+        for (long seed = 43; seed <= 52; seed++) {
+            MemoryFleet fleet = fleet(new MemoryFleet(seed), 6);
+            give(fleet, "router-3", VERONA, false, "two");
+            give(fleet, "router-0", VERONA, true, "one");
+            give(fleet, "router-4", VERONA, true, "three");
+            fleet.run(4_000);
+            assertTrue(fleet.routers().allMatch(OrderFleetTest::out));
+            assertEquals(
+                    fleet.routers()
+                            .map(router -> router.core().tables().order(VERONA))
+                            .distinct()
+                            .count(),
+                    1);
+        }
+    }
+
+    @Test
+    public void orderOutlivesTheRouterThatAcceptedItAndIsFiledLater() {
+        MemoryFleet fleet = fleet(new MemoryFleet(53), 6);
+        storeDown(fleet);
+        give(fleet, "router-0", VERONA, true, "one");
+        fleet.run(1_000);
+        fleet.kill("router-0");
+        fleet.unlist("router-0");
+        fleet.run(5_000);
+        fleet.routers().forEach(router -> router.store().faults().outage(false));
+        fleet.run(10_000);
+        String key = VERONA.storeKey();
+        assertEquals(fleet.table().range(key, "").entries().size(), 1);
+        fleet.routers().toList().forEach(router -> fleet.kill(router.id().value()));
+        fleet.start("fresh", "milano");
+        fleet.run(4_000);
+        assertTrue(out(fleet.router("fresh")));
+    }
+
+    @Test
+    public void orderAboutAnUpstreamLongGoneIsForgottenEverywhere() {
+        MemoryFleet fleet = fleet(new MemoryFleet(59), 6);
+        Target gone = new Target(Kind.UPSTREAM, "booking-verona");
+        give(fleet, "router-0", gone, true, "one");
+        fleet.run(4_000);
+        fleet.unlist("booking-verona");
+        fleet.routers().toList().forEach(router -> router.freeze());
+        fleet.run(25 * 3_600_000L);
+        fleet.routers().toList().forEach(router -> router.wake());
+        fleet.run(30_000);
+        assertTrue(fleet.routers().allMatch(router -> router.core().tables().order(gone) == null));
+        assertEquals(fleet.table().range(gone.storeKey(), "").entries(), List.of());
+    }
+
+    @Test
+    public void emptyListDropsNothingAtOnce() {
+        MemoryFleet fleet = fleet(new MemoryFleet(61), 6);
+        fleet.routers().forEach(router -> router.accept(new ControlInput.InstancesListed(List.of())));
+        fleet.run(200);
+        assertTrue(fleet.routers().allMatch(router -> OperatorChecker.uses(router, "booking-verona")));
+    }
+
+    @Test
+    public void silentPeerIsDroppedAndComesBack() {
+        MemoryFleet fleet = fleet(new MemoryFleet(67), 6);
+        fleet.router("router-1").freeze();
+        fleet.run(20_000);
+        MemoryRouter other = fleet.router("router-0");
+        assertEquals(other.core().tables().livePeers(fleet.time().now()).count(), 4);
+        fleet.router("router-1").wake();
+        fleet.run(70_000);
+        assertEquals(other.core().tables().livePeers(fleet.time().now()).count(), 5);
+        assertFalse(out(other));
+    }
+}
--- a/org.cuminspur.testing/src/org/cuminspur/testing/MemoryFleet.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/MemoryFleet.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import java.util.stream.Stream;
+import org.cuminspur.control.ControlCore;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.ControlOutput;
 import org.cuminspur.control.ListedInstance;
@@ -44,6 +46,7 @@
     private final Map<InstanceId, Traffic> traffic = new HashMap<>();
     private ToIntFunction<PeerMessage> size = message -> 0;
     private BiConsumer<MemoryRouter, UpstreamId> prober = (router, upstream) -> {};
+    private BiFunction<Self, RandomGenerator, ControlCore> cores = ControlCore::new;
     private long listLagMillis;
 
     public MemoryFleet(long seed) {
@@ -89,6 +92,11 @@
         prober = action;
     }
 
+    /** Sets how the cores of routers started later are made. */
+    public void cores(BiFunction<Self, RandomGenerator, ControlCore> maker) {
+        cores = maker;
+    }
+
     /** Sets how far the platform's list lags; each router's lag is drawn from 0 to this for each reading. */
     public void listLag(long maxMillis) {
         listLagMillis = maxMillis;
@@ -100,7 +108,7 @@
         MemoryStore store = new MemoryStore(time, split(), table, new StoreFaults());
         MemoryRouter[] holder = new MemoryRouter[1];
         MemoryRouter router = new MemoryRouter(
-                self, time, store, split(), send -> send(self.id(), send), id -> prober.accept(holder[0], id));
+                self, time, store, split(), cores, send -> send(self.id(), send), id -> prober.accept(holder[0], id));
         holder[0] = router;
         routers.put(self.id(), router);
         list(instance(name, ListedInstance.ROUTERS, domain, false));
--- a/org.cuminspur.testing/src/org/cuminspur/testing/MemoryRouter.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/MemoryRouter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminspur.control.ControlCore;
@@ -42,6 +43,7 @@
             VirtualTime time,
             MemoryStore store,
             RandomGenerator random,
+            BiFunction<Self, RandomGenerator, ControlCore> cores,
             Consumer<ControlOutput.SendPeer> sender,
             Consumer<UpstreamId> prober) {
         this.self = self;
@@ -49,7 +51,7 @@
         this.store = store;
         this.sender = sender;
         this.prober = prober;
-        this.core = new ControlCore(self, random);
+        this.core = cores.apply(self, random);
         time.after(random.nextLong(TICK_MS), this::firstTick);
     }
 
