--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -1,17 +1,18 @@
 package org.cuminspur.router;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
 import org.cuminspur.admission.ConcurrencyAdmission;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
-import org.cuminspur.http.platform.InstanceList;
-import org.cuminspur.once.RefusingLedger;
+import org.cuminspur.http.platform.InstanceWatcher;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.router.internal.caller.CallerServer;
 import org.cuminspur.router.internal.caller.RequestPipeline;
 import org.cuminspur.router.internal.caller.UpstreamCaller;
 import org.cuminspur.router.internal.control.ControlLoop;
+import org.cuminspur.router.internal.once.LedgerDriver;
 import org.cuminspur.router.internal.operator.OperatorServer;
 import org.cuminspur.time.Clock;
 
@@ -23,21 +24,29 @@
 public final class RouterDaemon {
     private static final int IO_THREADS = 2;
 
+    private final long unreadyMillis;
     private final HttpClient http;
     private final EtcdStore store;
     private final PeerLinks peers;
+    private final LedgerDriver once;
     private final ControlLoop control;
     private final CallerServer callers;
     private final OperatorServer operators;
 
     private RouterDaemon(RouterSettings settings) {
+        unreadyMillis = settings.callers().unreadyMillis();
         Clock clock = Clock.system();
         MetricRegistry metrics = new MetricRegistry();
         RouterSettings.Platform platform = settings.platform();
         http = new HttpClient(clock, IO_THREADS, platform.timeoutMillis());
         store = new EtcdStore(http, platform.store(), platform.timeoutMillis());
-        InstanceList instances = new InstanceList(http, platform.instances(), platform.timeoutMillis());
-        control = new ControlLoop(settings.self(), clock, store, instances, metrics);
+        once = new LedgerDriver(settings.once(), settings.self().id(), store, clock, metrics);
+        control = new ControlLoop(
+                settings.self(),
+                clock,
+                store,
+                listener -> new InstanceWatcher(http, platform.instances(), platform.timeoutMillis(), listener),
+                metrics);
         peers = new PeerLinks(
                 settings.self().id(),
                 settings.host(),
@@ -48,7 +57,7 @@
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
                 new ConcurrencyAdmission(settings.callers().threads()),
-                new RefusingLedger(),
+                once.ledger(),
                 new UpstreamCaller(http, clock, metrics),
                 clock);
         callers = new CallerServer(settings, pipeline, metrics);
@@ -58,6 +67,7 @@
     /** Starts a router. */
     public static RouterDaemon start(RouterSettings settings) {
         RouterDaemon daemon = new RouterDaemon(settings);
+        daemon.once.start();
         daemon.callers.start();
         daemon.operators.start();
         daemon.control.start(daemon.peers);
@@ -69,14 +79,31 @@
         return "listening callers=" + callers.port() + " operator=" + operators.port() + " peer=" + peers.port();
     }
 
-    /** Stops the router: it becomes unready, serves what is in progress, then leaves. */
+    /**
+     * Stops the router.
+     *
+     * <p>It becomes unready and serves on until the balancer has had time to notice; then it refuses new requests as
+     * not run, finishes those in progress and leaves. The control thread runs throughout, so duties are handed over.
+     */
     public void stop() {
         control.post(new ControlInput.StopRequested());
+        callers.drain();
+        pause(unreadyMillis);
+        callers.refuseNew();
         callers.stop();
+        once.close();
         operators.stop();
         control.close();
         peers.close();
         store.close();
         http.close();
     }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterSettings.java
@@ -2,14 +2,22 @@
 
 import org.cuminspur.control.Self;
 import org.cuminspur.http.platform.PlatformAddress;
+import org.cuminspur.once.LedgerSettings;
 
 /**
  * A router's settings, parsed once at start; immutable.
  *
  * @param host IP address to listen on
+ * @param once what is kept of actions that must run at most once
  */
 public record RouterSettings(
-        Self self, String host, Callers callers, Operators operators, Peers peers, Platform platform) {
+        Self self,
+        String host,
+        Callers callers,
+        Operators operators,
+        Peers peers,
+        Platform platform,
+        LedgerSettings once) {
     /**
      * How callers are served; immutable.
      *
@@ -17,7 +25,8 @@
      * @param threads requests that can be in progress at the same time
      * @param maxBodyBytes the largest request body
      * @param maxHeaderBytes the largest request head
-     * @param bodyTimeoutMillis the longest pause of a caller that sends its request
+     * @param bodyTimeoutMillis the longest time of a request's head, of its body, and of a pause in taking an answer
+     * @param unreadyMillis how long new requests are served after the router became unready at a planned stop
      * @param stopTimeoutMillis the longest wait for requests in progress at a planned stop
      */
     public record Callers(
@@ -26,6 +35,7 @@
             long maxBodyBytes,
             int maxHeaderBytes,
             long bodyTimeoutMillis,
+            long unreadyMillis,
             long stopTimeoutMillis) {}
 
     /**
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -8,9 +8,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.http.client.HttpAnswer;
 import org.cuminspur.http.client.HttpCall;
@@ -63,13 +65,39 @@
                 Map.of(ListedInstance.HTTP_PORT, process.ports().get("port")));
     }
 
-    /** Starts a router and lists it. */
-    public ListedInstance router(String name, String domain) {
+    /** Lists an upstream that listens on this machine already. */
+    public ListedInstance listedUpstream(String name, String service, String domain, int port) {
+        return list(name, service, domain, Map.of(ListedInstance.HTTP_PORT, port));
+    }
+
+    /** Starts several upstreams of a service in one process and lists them, spread over failure domains. */
+    public List<ListedInstance> upstreams(String kind, String service, int count, List<String> domains) {
+        Map<String, Integer> ports = start(
+                        service,
+                        "org.cuminspur.standin.Main",
+                        kind,
+                        "--name",
+                        service,
+                        "--count",
+                        Integer.toString(count))
+                .ports();
+        List<ListedInstance> listed = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int port = ports.get(i == 0 ? "port" : "port-" + i);
+            String domain = domains.get(i % domains.size());
+            listed.add(list(service + "-" + (i + 1), service, domain, Map.of(ListedInstance.HTTP_PORT, port)));
+        }
+        return listed;
+    }
+
+    /** Starts a router with further lines of settings and lists it. */
+    public ListedInstance router(String name, String domain, String... settings) {
         ChildProcess process = start(
                 name,
                 "org.cuminspur.router.Main",
                 "--settings",
-                write(name + ".ini", routerSettings(name, domain)).toString());
+                write(name + ".ini", routerSettings(name, domain) + String.join("\n", settings))
+                        .toString());
         Map<String, Integer> ports = process.ports();
         return list(
                 name,
@@ -117,6 +145,11 @@
         call("POST", port, "/faults", json);
     }
 
+    /** Returns the port on which an instance takes requests. */
+    public int port(String name) {
+        return instances.get(name).port(ListedInstance.HTTP_PORT);
+    }
+
     /** Returns the port of the platform. */
     public int platformPort() {
         return platformPort;
@@ -154,6 +187,16 @@
     public void close() {
         processes.values().forEach(ChildProcess::close);
         http.close();
+        removeFiles();
+    }
+
+    private void removeFiles() {
+        try (Stream<Path> files = Files.walk(directory)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     private ChildProcess start(String name, String mainClass, String... arguments) {
--- a/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
+++ b/org.cuminspur/src/org/cuminspur/store/StoreKeys.java
@@ -19,6 +19,9 @@
     /** Number of newest publications whose ids are kept. */
     public static final int PUBLICATIONS = 4_096;
 
+    /** Prefix of the records of actions that must run at most once. */
+    public static final String ONCE = "cuminspur/once/";
+
     private static final String PUBLICATION = "cuminspur/publication/";
 
     private StoreKeys() {}
