Follow operators through killed and frozen processes

Processes are killed, frozen and resumed, the store is down or loses a reply, and publications, orders and a router started meanwhile still end as promised. A list that lacks most upstreams is now believed on a tick, since lists come only when they change.

--- a/org.cuminspur.router.test/tst/org/cuminspur/fuzz/InputFuzzTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/fuzz/InputFuzzTest.java
@@ -45,9 +45,9 @@
         Order order = new Order(new Target(Target.Kind.DOMAIN, "verona"), 3, true, "operator");
         ConfigFile file = new ConfigFile(new Revision(2), "[domain verona]\nregion = it-nord\n");
         return new Object[][] {
-            {new PeerMessage.Digest(new FailureDomainId("verona"), new Revision(7), -5, true)},
+            {new PeerMessage.Digest(new FailureDomainId("verona"), new Revision(7), -5, true, true, 9, List.of(TO))},
             {new PeerMessage.ConfigRequest(new Revision(3))},
-            {new PeerMessage.ConfigDelta(new Revision(1), new Revision(2), "p", Map.of("a", file), List.of("a", "b"))},
+            {new PeerMessage.ConfigDelta(new Revision(1), new Revision(2), "p", Map.of("a", file), List.of("b"), -7)},
             {new PeerMessage.Orders(List.of(order), true)},
             {
                 new PeerMessage.UpstreamAlerts(List.of(new PeerMessage.UpstreamAlert(
--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/OperatorFaultsTest.java
@@ -0,0 +1,112 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminspur.pgm.ExitCode;
+import org.cuminspur.pgm.Main;
+import org.cuminspur.standin.fleet.ChildProcess;
+import org.cuminspur.standin.fleet.LocalFleet;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+/**
+ * Publishes and gives orders while processes are killed or frozen and the platform is down or loses replies.
+ *
+ * <p>Its tests run one after the other, each on the state that the one before left.
+ */
+public class OperatorFaultsTest {
+    private LocalFleet fleet;
+
+    @BeforeClass
+    public void start() {
+        fleet = new LocalFleet();
+        fleet.router("router-1", "noord-a");
+        fleet.router("router-2", "noord-b");
+        fleet.router("router-3", "noord-c");
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stop() {
+        fleet.close();
+    }
+
+    @Test
+    public void lostReplyIsSettledAsPublished() {
+        fleet.fault("platform", "{\"lose_replies\":1}");
+        assertEquals(publish("one"), "DONE revision 1 is in force on 3 of 3 instances\n");
+    }
+
+    @Test(dependsOnMethods = "lostReplyIsSettledAsPublished")
+    public void wokenRouterTakesTheNewestRevision() {
+        ChildProcess frozen = fleet.process("router-2");
+        frozen.freeze();
+        assertEquals(publish("two"), "FAILED revision 2 is in force on 2 of 3 instances\n");
+        assertEquals(publish("three"), "FAILED revision 3 is in force on 2 of 3 instances\n");
+        frozen.resume();
+        frozen.awaitLine(line -> line.contains("revision-applied 3"));
+        List<Long> applied = revisions("router-2");
+        assertEquals(applied, applied.stream().sorted().distinct().toList());
+        assertEquals(applied.get(applied.size() - 1), 3L);
+    }
+
+    @Test(dependsOnMethods = "wokenRouterTakesTheNewestRevision")
+    public void takeOutHoldsEverywhereWhileTheStoreIsDown() {
+        fleet.fault("platform", "{\"outage\":true}");
+        assertEquals(
+                run("take-out", "--by", "ada", "domain/noord-c"),
+                "DONE domain/noord-c is out of service on 3 of 3 instances\n");
+    }
+
+    @Test(dependsOnMethods = "takeOutHoldsEverywhereWhileTheStoreIsDown")
+    public void routerStartedWhileTheStoreIsDownLearnsFromPeers() {
+        fleet.router("router-4", "noord-a");
+        fleet.process("router-4").awaitLine(line -> line.contains("revision-applied 3 from router-"));
+        fleet.process("router-4").awaitLine(line -> line.contains("taken-out domain/noord-c by ada"));
+    }
+
+    @Test(dependsOnMethods = "routerStartedWhileTheStoreIsDownLearnsFromPeers")
+    public void orderOutlivesTheRouterThatAcceptedIt() {
+        fleet.process("router-1").kill();
+        fleet.unlist("router-1");
+        fleet.fault("platform", "{\"outage\":false}");
+        assertEquals(publish("four"), "DONE revision 4 is in force on 3 of 3 instances\n");
+        fleet.process("router-2").kill();
+        fleet.process("router-3").kill();
+        fleet.process("router-4").kill();
+        List.of("router-2", "router-3", "router-4").forEach(fleet::unlist);
+        fleet.router("router-5", "noord-a");
+        fleet.process("router-5").awaitLine(line -> line.contains("revision-applied 4 from store"));
+        fleet.process("router-5").awaitLine(line -> line.contains("taken-out domain/noord-c by ada"));
+    }
+
+    private List<Long> revisions(String name) {
+        List<Long> applied = new ArrayList<>();
+        fleet.process(name).lines().stream()
+                .filter(line -> line.contains("revision-applied "))
+                .map(line -> line.replaceAll(".*revision-applied ([0-9]+).*", "$1"))
+                .map(Long::valueOf)
+                .forEach(applied::add);
+        return applied;
+    }
+
+    private String publish(String account) {
+        String text = "[service stock]\nkind = plain\n# " + account + "\n";
+        return run("publish", fleet.serviceFile("stock", text).toString());
+    }
+
+    private String run(String command, String... arguments) {
+        List<String> line = new ArrayList<>(
+                List.of(command, "--settings", fleet.operatorSettings().toString(), "--timeout", "5"));
+        line.addAll(List.of(arguments));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
+        ExitCode code = Main.run(stream, System.err, line.toArray(String[]::new));
+        return code + " " + out.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/org.cuminspur.test/tst/org/cuminspur/control/OrderFleetTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/control/OrderFleetTest.java
@@ -212,6 +212,16 @@
         assertTrue(fleet.routers().allMatch(router -> OperatorChecker.uses(router, "booking-verona")));
     }
 
+    @Test
+    public void emptyListThatStandsIsBelieved() {
+        MemoryFleet fleet = fleet(new MemoryFleet(63), 6);
+        SMALL.forEach(domain -> fleet.unlist("booking-" + domain));
+        fleet.run(5_000);
+        assertTrue(fleet.routers().allMatch(router -> OperatorChecker.uses(router, "booking-verona")));
+        fleet.run(10_000);
+        assertTrue(fleet.routers().noneMatch(router -> OperatorChecker.uses(router, "booking-verona")));
+    }
+
     @Test
     public void silentPeerIsDroppedAndComesBack() {
         MemoryFleet fleet = fleet(new MemoryFleet(67), 6);
--- a/org.cuminspur/src/org/cuminspur/control/system/MembershipSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/MembershipSystem.java
@@ -24,7 +24,8 @@
     private static final double MIN_KEPT_SHARE = 0.5;
 
     private final Tables tables;
-    private long doubtfulSinceMillis = Long.MAX_VALUE;
+    private List<ListedInstance> doubted = List.of();
+    private long doubtedSinceMillis = Long.MAX_VALUE;
 
     public MembershipSystem(Tables tables) {
         this.tables = tables;
@@ -36,12 +37,35 @@
     }
 
     @Override
-    public void tick(Turn turn) {}
+    public void tick(Turn turn) {
+        if (doubtedSinceMillis != Long.MAX_VALUE && turn.now() - doubtedSinceMillis >= DOUBT_MS) {
+            doubtedSinceMillis = Long.MAX_VALUE;
+            replace(doubted.stream(), turn);
+        }
+    }
 
     private void listed(ControlInput.InstancesListed input, Turn turn) {
+        doubted = input.instances();
+        if (lacksMost(doubted)) {
+            doubt(turn);
+            replace(Stream.concat(held(), doubted.stream()), turn);
+        } else {
+            doubtedSinceMillis = Long.MAX_VALUE;
+            replace(doubted.stream(), turn);
+        }
+    }
+
+    private void doubt(Turn turn) {
+        if (doubtedSinceMillis == Long.MAX_VALUE) {
+            doubtedSinceMillis = turn.now();
+            turn.changed(
+                    "list-doubted", "it lacks most of " + tables.upstreams().count() + " upstreams");
+        }
+    }
+
+    private void replace(Stream<ListedInstance> instances, Turn turn) {
         long before = tables.upstreams().count();
-        boolean doubtful = doubtful(input.instances(), turn);
-        tables.list(doubtful ? Stream.concat(held(), input.instances().stream()) : input.instances().stream());
+        tables.list(instances);
         long after = tables.upstreams().count();
         if (before != after) {
             turn.changed("upstreams-listed", "from " + before + " to " + after);
@@ -53,20 +77,12 @@
                 tables.peers().map(PeerRow::listed), tables.upstreams().map(UpstreamRow::listed));
     }
 
-    private boolean doubtful(List<ListedInstance> instances, Turn turn) {
+    private boolean lacksMost(List<ListedInstance> instances) {
         Set<String> names = instances.stream().map(ListedInstance::name).collect(Collectors.toSet());
         long known = tables.upstreams().count();
         long kept = tables.upstreams()
                 .filter(row -> names.contains(row.id().value()))
                 .count();
-        if (kept >= known * MIN_KEPT_SHARE) {
-            doubtfulSinceMillis = Long.MAX_VALUE;
-            return false;
-        }
-        if (doubtfulSinceMillis == Long.MAX_VALUE) {
-            doubtfulSinceMillis = turn.now();
-            turn.changed("list-doubted", "it lacks " + (known - kept) + " of " + known + " upstreams");
-        }
-        return turn.now() - doubtfulSinceMillis < DOUBT_MS;
+        return kept < known * MIN_KEPT_SHARE;
     }
 }
