--- a/org.cuminspur.test/tst/org/cuminspur/control/ConfigFleetTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/control/ConfigFleetTest.java
@@ -28,6 +28,8 @@
         FREEZE(run -> run.freeze("router-1", 6_000)),
         HOLDERS_KILLED(Run::killWatchers),
         LOST_REPLIES(run -> run.checker.publisherFaults().lostReplyShare(0.3)),
+        SILENT_WATCHES(run ->
+                run.fleet.routers().forEach(router -> router.store().faults().silentWatches(true))),
         STALE_LIST(run -> run.fleet.listLag(8_000)),
         STORE_DOWN_FOR_MOST(Run::storeDownForMost);
 
--- a/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
@@ -164,7 +164,7 @@
                     .toList();
             if (faults.outage()) {
                 time.after(0, this::end);
-            } else if (!seen.isEmpty() && !done) {
+            } else if (!seen.isEmpty() && !done && !faults.silentWatches()) {
                 time.after(delay(), () -> changes.accept(new StoreView(revision, seen)));
             }
         }
--- a/org.cuminspur.testing/src/org/cuminspur/testing/StoreFaults.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/StoreFaults.java
@@ -7,6 +7,7 @@
  */
 public final class StoreFaults {
     private boolean outage;
+    private boolean silentWatches;
     private double lostReplyShare;
     private double lostRequestShare;
     private long minDelayMillis = 1;
@@ -22,6 +23,16 @@
         return this;
     }
 
+    /** Returns whether running watches tell no changes, though they do not break. */
+    public boolean silentWatches() {
+        return silentWatches;
+    }
+
+    public StoreFaults silentWatches(boolean on) {
+        silentWatches = on;
+        return this;
+    }
+
     /** Returns the share of calls whose reply is lost after they took effect. */
     public double lostReplyShare() {
         return lostReplyShare;
