Serve the instance list's watch again

Gossip had no peers, which OperatorFaultsTest.takeOutHoldsEverywhereWhileTheStoreIsDown showed: 1 of 3 instances held a take-out after 60 s with the store down.

--- a/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/platform/StandinPlatform.java
@@ -47,7 +47,7 @@
                 .post("/v3/lease/grant", store(etcd::grant))
                 .post("/v3/lease/keepalive", store(etcd::keepAlive))
                 .post("/v3/watch", store(etcd::watch))
-                .get("/apis/discovery.k8s.io/v1/endpointslices", exchange -> send(exchange, instances.list()))
+                .get("/apis/discovery.k8s.io/v1/endpointslices", this::instances)
                 .put("/instances/{name}", exchange -> {
                     instances.put(parameter(exchange, "name"), JSON.readTree(exchange.getInputStream()));
                     send(exchange, JSON.createObjectNode());
