--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/Publish.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/Publish.java
@@ -21,6 +21,8 @@
 /** Publishes service files as one revision and waits until it is in force; used by one thread. */
 @Parameters(commandDescription = "Publish service files and wait until they are in force")
 final class Publish extends FleetCommand {
+    private static final long COMMIT_TIMEOUT_MS = 60_000;
+
     @Parameter(description = "DIR...", required = true)
     private List<String> directories = new ArrayList<>();
 
@@ -36,11 +38,18 @@
         console.progress("publishing " + files.get().size() + " files");
         CompletableFuture<PublishResult> result = new CompletableFuture<>();
         String publication = UUID.randomUUID().toString();
-        new Publisher(fleet.store(), publication, files.get(), Set.copyOf(removals), result::complete).call();
-        return report(result.join(), fleet, console);
+        new Publisher(
+                        fleet.store(),
+                        publication,
+                        files.get(),
+                        Set.copyOf(removals),
+                        fleet.backoff(COMMIT_TIMEOUT_MS),
+                        result::complete)
+                .call();
+        return report(publication, result.join(), fleet, console);
     }
 
-    private ExitCode report(PublishResult result, Fleet fleet, Console console) {
+    private ExitCode report(String publication, PublishResult result, Fleet fleet, Console console) {
         if (result instanceof PublishResult.Published published) {
             return await(published.revision(), fleet, console);
         }
@@ -52,12 +61,15 @@
             return FaultReport.print(faulty.faults(), json(), console.out());
         }
         if (result instanceof PublishResult.Conflict conflict) {
-            return console.fail("revision " + conflict.revision() + " changed the same files meanwhile: "
+            return console.fail("publication " + publication + " lost a race: by revision " + conflict.revision()
+                    + " (publication " + conflict.publication() + ") the same files were changed meanwhile: "
                     + conflict.files() + "; nothing was published");
         }
         PublishResult.StoreDown down = (PublishResult.StoreDown) result;
-        return console.fail("the platform's store does not answer; "
-                + (down.mayHavePublished() ? "the files may have been published" : "nothing was published"));
+        return console.fail("the platform's store did not take the publication in time; "
+                + (down.mayHavePublished()
+                        ? "the files may have been published; publish again to find out"
+                        : "nothing was published"));
     }
 
     private ExitCode await(Revision revision, Fleet fleet, Console console) {
--- a/org.cuminspur/src/org/cuminspur/control/system/MembershipSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/MembershipSystem.java
@@ -1,14 +1,31 @@
 package org.cuminspur.control.system;
 
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.ControlSystem;
 import org.cuminspur.control.InputHandlers;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.control.PeerRow;
 import org.cuminspur.control.Tables;
 import org.cuminspur.control.Turn;
+import org.cuminspur.control.UpstreamRow;
 
-/** Keeps the tables of routers and upstreams in step with the platform's list; used on the control thread only. */
+/**
+ * Keeps the tables of routers and upstreams in step with the platform's list.
+ *
+ * <p>Used on the control thread only. A list that suddenly lacks most of the upstreams is more likely a fault of the
+ * list than a loss of them all, so what it lacks is dropped only once it has stood for a while.
+ */
 public final class MembershipSystem implements ControlSystem {
+    private static final long DOUBT_MS = 10_000;
+    private static final double MIN_KEPT_SHARE = 0.5;
+
     private final Tables tables;
+    private List<ListedInstance> doubted = List.of();
+    private long doubtedSinceMillis = Long.MAX_VALUE;
 
     public MembershipSystem(Tables tables) {
         this.tables = tables;
@@ -20,14 +37,52 @@
     }
 
     @Override
-    public void tick(Turn turn) {}
+    public void tick(Turn turn) {
+        if (doubtedSinceMillis != Long.MAX_VALUE && turn.now() - doubtedSinceMillis >= DOUBT_MS) {
+            doubtedSinceMillis = Long.MAX_VALUE;
+            replace(doubted.stream(), turn);
+        }
+    }
 
     private void listed(ControlInput.InstancesListed input, Turn turn) {
+        doubted = input.instances();
+        if (lacksMost(doubted)) {
+            doubt(turn);
+            replace(Stream.concat(held(), doubted.stream()), turn);
+        } else {
+            doubtedSinceMillis = Long.MAX_VALUE;
+            replace(doubted.stream(), turn);
+        }
+    }
+
+    private void doubt(Turn turn) {
+        if (doubtedSinceMillis == Long.MAX_VALUE) {
+            doubtedSinceMillis = turn.now();
+            turn.changed(
+                    "list-doubted", "it lacks most of " + tables.upstreams().count() + " upstreams");
+        }
+    }
+
+    private void replace(Stream<ListedInstance> instances, Turn turn) {
         long before = tables.upstreams().count();
-        tables.list(input.instances().stream());
+        tables.list(instances);
         long after = tables.upstreams().count();
         if (before != after) {
             turn.changed("upstreams-listed", "from " + before + " to " + after);
         }
     }
+
+    private Stream<ListedInstance> held() {
+        return Stream.concat(
+                tables.peers().map(PeerRow::listed), tables.upstreams().map(UpstreamRow::listed));
+    }
+
+    private boolean lacksMost(List<ListedInstance> instances) {
+        Set<String> names = instances.stream().map(ListedInstance::name).collect(Collectors.toSet());
+        long known = tables.upstreams().count();
+        long kept = tables.upstreams()
+                .filter(row -> names.contains(row.id().value()))
+                .count();
+        return kept < known * MIN_KEPT_SHARE;
+    }
 }
