Share slots fairly between client accounts and limit them over the fleet

The placeholder admitted first come first served and knew no account limits, so one account's surge could take every thread.

--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -1,7 +1,6 @@
 package org.cuminspur.router;
 
 import com.codahale.metrics.MetricRegistry;
-import org.cuminspur.admission.ConcurrencyAdmission;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
@@ -11,6 +10,7 @@
 import org.cuminspur.router.internal.caller.CallerServer;
 import org.cuminspur.router.internal.caller.RequestPipeline;
 import org.cuminspur.router.internal.caller.UpstreamCaller;
+import org.cuminspur.router.internal.control.AccountAdmission;
 import org.cuminspur.router.internal.control.ControlLoop;
 import org.cuminspur.router.internal.operator.OperatorServer;
 import org.cuminspur.time.Clock;
@@ -47,7 +47,7 @@
                 (from, message) -> control.post(new ControlInput.PeerReceived(from, message)));
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
-                new ConcurrencyAdmission(settings.callers().threads()),
+                AccountAdmission.start(settings.callers().threads(), control.accounts(), clock, metrics),
                 new RefusingLedger(),
                 new UpstreamCaller(http, clock, metrics),
                 clock);
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/AccountAdmission.java
@@ -0,0 +1,32 @@
+package org.cuminspur.router.internal.control;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.admission.AccountGauges;
+import org.cuminspur.admission.Admission;
+import org.cuminspur.admission.FairAdmission;
+import org.cuminspur.time.Clock;
+
+/** Joins fair admission to a timer thread and to the metrics; stateless and thread-safe. */
+public final class AccountAdmission {
+    private AccountAdmission() {}
+
+    /** Starts admission for a number of worker threads; its timer thread is a daemon. */
+    public static Admission start(int threads, AccountGauges accounts, Clock clock, MetricRegistry metrics) {
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "admission-timer");
+            thread.setDaemon(true);
+            return thread;
+        });
+        FairAdmission.Capacity capacity = FairAdmission.Capacity.ofThreads(threads);
+        FairAdmission admission = new FairAdmission(
+                capacity, accounts, clock, (millis, action) -> timer.schedule(action, millis, TimeUnit.MILLISECONDS));
+        metrics.register("admission.running", (Gauge<Integer>) admission::running);
+        metrics.register("admission.waiting", (Gauge<Integer>) admission::waiting);
+        metrics.register("admission.slots", (Gauge<Integer>) capacity::slots);
+        return admission;
+    }
+}
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.cuminspur.admission.AccountGauges;
 import org.cuminspur.control.ControlCore;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.Self;
@@ -73,6 +74,11 @@
         return core.snapshot();
     }
 
+    /** Returns the gauges of the accounts that this router serves. */
+    public AccountGauges accounts() {
+        return core.accounts();
+    }
+
     /** Reads the tables on the control thread and waits for the result. */
     public <T> Try<T> read(Function<Tables, T> reader) {
         Callable<T> task = () -> reader.apply(core.tables());
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/admission/AccountGauge.java
@@ -0,0 +1,131 @@
+package org.cuminspur.admission;
+
+import org.cuminspur.config.AccountSpec;
+
+/**
+ * Meters one account's requests at one router against the limit that holds for it there.
+ *
+ * <p>Thread-safe. In any time {@code t} no more than rate x t plus the burst start, and whatever the limit is, one
+ * request may always be in progress, so that a small share never shuts an account out of a router.
+ */
+public final class AccountGauge {
+    /** Requests that may start at once after a pause, however small the rate. */
+    public static final double MIN_BURST = 2;
+
+    private static final double BURST_SECONDS = 1;
+    private static final double DEMAND_TIME_CONSTANT_MS = 3_000;
+    private static final double HELD_GAIN = 1.0 / 16;
+
+    /** What an account asks of one router; immutable. */
+    public record Demand(double requestsPerSecond, double concurrent, boolean limited) {}
+
+    private AccountSpec account;
+    private AccountLimit limit;
+    private double tokens = Double.NaN;
+    private long refilledMillis;
+    private int inProgress;
+    private double heldMillis;
+    private long usedMillis;
+    private double demandPerSecond;
+    private long sampledMillis;
+    private int arrivals;
+    private int limitedArrivals;
+
+    AccountGauge(AccountSpec account, AccountLimit limit, long now) {
+        this.account = account;
+        this.limit = limit;
+        usedMillis = now;
+        refilledMillis = now;
+        sampledMillis = now;
+    }
+
+    /** Starts a request, or returns after how many milliseconds it may be tried again; 0 if it was started. */
+    synchronized long tryStart(AccountSpec spec, long now) {
+        account = spec;
+        usedMillis = now;
+        arrivals++;
+        refill(now);
+        if (tokens < 1) {
+            limitedArrivals++;
+            return Math.max(1, (long) Math.ceil((1 - tokens) * 1_000 / limit.requestsPerSecond()));
+        }
+        if (inProgress >= Math.max(1, limit.concurrent())) {
+            limitedArrivals++;
+            return Math.max(1, (long) (heldMillis / inProgress));
+        }
+        tokens--;
+        inProgress++;
+        return 0;
+    }
+
+    /** Ends a request that was held for a time. */
+    synchronized void end(long held) {
+        inProgress--;
+        heldMillis = heldMillis == 0 ? held : heldMillis + (held - heldMillis) * HELD_GAIN;
+    }
+
+    /** Takes back a request that was started here but could not be served. */
+    synchronized void cancel() {
+        inProgress--;
+        tokens = Math.min(burst(), tokens + 1);
+    }
+
+    /** Returns how long the account's requests are held on average, 0 before the first has ended. */
+    synchronized double heldMillis() {
+        return heldMillis;
+    }
+
+    /** Returns the account as it was published when it was last used. */
+    public synchronized AccountSpec account() {
+        return account;
+    }
+
+    /** Returns requests in progress, waiting ones included. */
+    public synchronized int inProgress() {
+        return inProgress;
+    }
+
+    /** Returns the limit in force. */
+    public synchronized AccountLimit limit() {
+        return limit;
+    }
+
+    /** Puts a limit in force. */
+    public synchronized void limit(AccountLimit value, long now) {
+        refill(now);
+        limit = value;
+        tokens = Math.min(tokens, burst());
+    }
+
+    /** Returns the demand since the last sample, smoothed; called by the control thread only. */
+    public synchronized Demand sample(long now) {
+        double elapsed = now - sampledMillis;
+        if (elapsed > 0) {
+            double gain = 1 - Math.exp(-elapsed / DEMAND_TIME_CONSTANT_MS);
+            demandPerSecond += (arrivals * 1_000 / elapsed - demandPerSecond) * gain;
+        }
+        boolean limited = limitedArrivals > 0;
+        double wanted = inProgress + (inProgress >= limit.concurrent() ? limitedArrivals : 0);
+        sampledMillis = now;
+        arrivals = 0;
+        limitedArrivals = 0;
+        return new Demand(demandPerSecond, wanted, limited);
+    }
+
+    synchronized boolean idleSince(long millis) {
+        return inProgress == 0 && usedMillis < millis;
+    }
+
+    private void refill(long now) {
+        if (Double.isNaN(tokens)) {
+            tokens = burst();
+        }
+        double earned = Math.max(0, now - refilledMillis) * limit.requestsPerSecond() / 1_000;
+        tokens = Math.min(burst(), tokens + earned);
+        refilledMillis = now;
+    }
+
+    private double burst() {
+        return Math.max(MIN_BURST, limit.requestsPerSecond() * BURST_SECONDS);
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/admission/FairAdmission.java
@@ -0,0 +1,169 @@
+package org.cuminspur.admission;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.time.Clock;
+
+/**
+ * Admits requests within the accounts' limits, and shares a number of slots fairly between those that wait.
+ *
+ * <p>Thread-safe; replies are given outside the lock. A request waits for no longer than the capacity's bound. It is
+ * refused at once if it is over its account's limit, if its expected wait passes that bound or its deadline, or if the
+ * queue is full and no waiting request would be served later than it. Refused requests have not run.
+ */
+public final class FairAdmission implements Admission {
+    private static final double HELD_GAIN = 1.0 / 32;
+
+    /**
+     * How many requests run and wait; immutable.
+     *
+     * @param slots requests that may run at the same time
+     * @param waiting requests that may wait
+     * @param maxWaitMillis the longest wait
+     */
+    public record Capacity(int slots, int waiting, long maxWaitMillis) {
+        private static final int WAITING_PART = 4;
+        private static final long MAX_WAIT_MS = 1_000;
+
+        /** Returns the capacity of a number of worker threads, of which a few stay free to refuse requests. */
+        public static Capacity ofThreads(int threads) {
+            int waiting = threads / WAITING_PART;
+            int free = Math.max(1, waiting / WAITING_PART);
+            return new Capacity(Math.max(1, threads - waiting - free), waiting, MAX_WAIT_MS);
+        }
+    }
+
+    /** Runs actions later; thread-safe. */
+    @FunctionalInterface
+    public interface Timer {
+        /** Runs an action after a time. */
+        void after(long millis, Runnable action);
+    }
+
+    private record Waiting(Demand demand, AccountGauge gauge, Consumer<Either<Refusal, Permit>> reply) {}
+
+    private final Capacity capacity;
+    private final AccountGauges gauges;
+    private final Clock clock;
+    private final Timer timer;
+    private final Object lock = new Object();
+    private final FairQueue<Waiting> queue = new FairQueue<>();
+    private int running;
+    private double heldMillis;
+
+    public FairAdmission(Capacity capacity, AccountGauges gauges, Clock clock, Timer timer) {
+        this.capacity = capacity;
+        this.gauges = gauges;
+        this.clock = clock;
+        this.timer = timer;
+    }
+
+    @Override
+    public void admit(Demand demand, Consumer<Either<Refusal, Permit>> reply) {
+        long now = clock.millis();
+        AccountGauge gauge = gauges.of(demand.account(), now);
+        long retryAfter = gauge.tryStart(demand.account(), now);
+        if (retryAfter > 0) {
+            reply.accept(Either.left(new Refusal(ErrorKind.ACCOUNT_LIMIT, "", retryAfter)));
+            return;
+        }
+        List<Runnable> replies = new ArrayList<>();
+        synchronized (lock) {
+            enqueue(new Waiting(demand, gauge, reply), now, replies);
+            startNext(replies);
+        }
+        replies.forEach(Runnable::run);
+    }
+
+    /** Returns requests that wait. */
+    public int waiting() {
+        synchronized (lock) {
+            return queue.size();
+        }
+    }
+
+    /** Returns requests that run. */
+    public int running() {
+        synchronized (lock) {
+            return running;
+        }
+    }
+
+    private void enqueue(Waiting waiting, long now, List<Runnable> replies) {
+        FairQueue.Flow flow = new FairQueue.Flow(
+                waiting.demand().account().id(), waiting.demand().priority());
+        FairQueue.Entry<Waiting> entry = queue.add(flow, waiting.gauge().heldMillis(), waiting);
+        if (running < capacity.slots()) {
+            return;
+        }
+        long left = Math.min(capacity.maxWaitMillis(), waiting.demand().deadlineMillis() - now);
+        if (expectedWait(entry) >= left) {
+            queue.remove(entry);
+            refuse(entry, replies);
+            return;
+        }
+        if (queue.size() > capacity.waiting()) {
+            FairQueue.Entry<Waiting> last = queue.removeLast();
+            refuse(last, replies);
+            if (last == entry) {
+                return;
+            }
+        }
+        timer.after(left, () -> giveUp(entry));
+    }
+
+    private void giveUp(FairQueue.Entry<Waiting> entry) {
+        List<Runnable> replies = new ArrayList<>();
+        synchronized (lock) {
+            if (queue.remove(entry)) {
+                refuse(entry, replies);
+            }
+        }
+        replies.forEach(Runnable::run);
+    }
+
+    private void startNext(List<Runnable> replies) {
+        while (running < capacity.slots() && queue.size() > 0) {
+            Waiting next = queue.poll().item();
+            running++;
+            Permit permit = permit(next.gauge(), clock.millis());
+            replies.add(() -> next.reply().accept(Either.right(permit)));
+        }
+    }
+
+    private Permit permit(AccountGauge gauge, long startMillis) {
+        AtomicBoolean released = new AtomicBoolean();
+        return () -> {
+            if (released.compareAndSet(false, true)) {
+                release(gauge, clock.millis() - startMillis);
+            }
+        };
+    }
+
+    private void release(AccountGauge gauge, long held) {
+        gauge.end(held);
+        List<Runnable> replies = new ArrayList<>();
+        synchronized (lock) {
+            heldMillis = heldMillis == 0 ? held : heldMillis + (held - heldMillis) * HELD_GAIN;
+            running--;
+            startNext(replies);
+        }
+        replies.forEach(Runnable::run);
+    }
+
+    private void refuse(FairQueue.Entry<Waiting> entry, List<Runnable> replies) {
+        Waiting waiting = entry.item();
+        waiting.gauge().cancel();
+        Refusal refusal = new Refusal(ErrorKind.OVERLOADED, "", (long) expectedWait(entry));
+        replies.add(() -> waiting.reply().accept(Either.left(refusal)));
+    }
+
+    private double expectedWait(FairQueue.Entry<Waiting> entry) {
+        return (queue.ahead(entry) + 1) * heldMillis / capacity.slots();
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/admission/FairQueue.java
@@ -0,0 +1,86 @@
+package org.cuminspur.admission;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.cuminspur.config.Priority;
+import org.cuminspur.id.AccountId;
+
+/**
+ * Orders waiting requests by start-time fair queueing over flows, one flow for each account and priority.
+ *
+ * <p>Used under one lock. While flows wait, each is given slot time in proportion to its priority's weight, so that
+ * no flow starves, and a flow that sent nothing for a while gains no credit. Memory is bounded by the requests that
+ * wait and the flows that were served since the virtual time they are charged up to.
+ */
+final class FairQueue<T> {
+    private static final int PRUNE_SIZE = 256;
+
+    /** A request in the queue; immutable. */
+    record Entry<T>(Flow flow, double start, double cost, long sequence, T item) {}
+
+    /** Requests of one account with one priority; immutable. */
+    record Flow(AccountId account, Priority priority) {}
+
+    private final TreeSet<Entry<T>> entries =
+            new TreeSet<>(Comparator.<Entry<T>>comparingDouble(Entry::start).thenComparingLong(Entry::sequence));
+    private final Map<Flow, Double> finishes = new HashMap<>();
+    private double virtualTime;
+    private long sequence;
+
+    /** Adds a request that is expected to hold a slot for {@code slotMillis}. */
+    Entry<T> add(Flow flow, double slotMillis, T item) {
+        double cost = Math.max(1, slotMillis) / weight(flow.priority());
+        double start = Math.max(virtualTime, finishes.getOrDefault(flow, 0.0));
+        Entry<T> entry = new Entry<>(flow, start, cost, sequence++, item);
+        finishes.put(flow, start + cost);
+        entries.add(entry);
+        return entry;
+    }
+
+    /** Removes the request that is next, or returns null if none waits. */
+    Entry<T> poll() {
+        Entry<T> next = entries.pollFirst();
+        if (next != null) {
+            virtualTime = Math.max(virtualTime, next.start());
+        }
+        if (finishes.size() > PRUNE_SIZE) {
+            finishes.values().removeIf(finish -> finish <= virtualTime);
+        }
+        return next;
+    }
+
+    /** Removes the request that would be served last. */
+    Entry<T> removeLast() {
+        Entry<T> last = entries.last();
+        remove(last);
+        return last;
+    }
+
+    /** Removes a request; returns whether it was waiting. */
+    boolean remove(Entry<T> entry) {
+        boolean waited = entries.remove(entry);
+        if (waited) {
+            finishes.computeIfPresent(entry.flow(), (flow, finish) -> finish - entry.cost());
+        }
+        return waited;
+    }
+
+    /** Returns how many requests are served before this one. */
+    int ahead(Entry<T> entry) {
+        return entries.headSet(entry).size();
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    private static double weight(Priority priority) {
+        return switch (priority) {
+            case HIGH -> 4;
+            case NORMAL -> 2;
+            case LOW -> 1;
+        };
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.cuminspur.admission.AccountGauges;
+import org.cuminspur.control.system.AccountShareSystem;
 import org.cuminspur.control.system.ConfigSystem;
 import org.cuminspur.control.system.GossipSystem;
 import org.cuminspur.control.system.MembershipSystem;
@@ -28,7 +30,8 @@
                 new MembershipSystem(tables),
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
-                new GossipSystem(tables, random));
+                new GossipSystem(tables, random),
+                new AccountShareSystem(tables, random));
         systems.forEach(system -> system.register(handlers));
         handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
     }
@@ -50,6 +53,11 @@
         return snapshot;
     }
 
+    /** Returns the gauges of the accounts that this router serves; may be called on any thread. */
+    public AccountGauges accounts() {
+        return tables.accounts();
+    }
+
     /** Returns the tables; for use on the control thread. */
     public Tables tables() {
         return tables;
--- a/org.cuminspur/src/org/cuminspur/control/Tables.java
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.cuminspur.admission.AccountGauges;
 import org.cuminspur.config.ConfigDocument;
 import org.cuminspur.config.FleetConfig;
 import org.cuminspur.id.FailureDomainId;
@@ -25,6 +26,7 @@
     private final Map<Target, Order> orders = new TreeMap<>();
     private ConfigDocument document = ConfigDocument.EMPTY;
     private FleetConfig config = FleetConfig.EMPTY;
+    private final AccountGauges accounts = new AccountGauges();
     private boolean stopping;
 
     public Tables(Self self) {
@@ -65,6 +67,11 @@
         stopping = true;
     }
 
+    /** Returns the gauges of the accounts that this router serves; may be used on any thread. */
+    public AccountGauges accounts() {
+        return accounts;
+    }
+
     /** Returns the other routers in order of their ids. */
     public Stream<PeerRow> peers() {
         return peers.values().stream();
