Prove the bounds of account surges and limits under faults

Cause: an account's surge could take every slot, and each router knew only its own part of an account's use. Tried and dropped: evicting the waiting request with the latest virtual time when the queue is full.

--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/admission/AccountBench.java
@@ -0,0 +1,167 @@
+package org.cuminspur.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.config.AccountSpec;
+import org.cuminspur.config.Priority;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.publish.Publisher;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryRouter;
+import org.cuminspur.testing.MemoryStore;
+
+/**
+ * Sends requests of several accounts through the admission of every router of a fleet under virtual time.
+ *
+ * <p>Used by one thread. Equal seeds and calls give equal runs.
+ */
+final class AccountBench {
+    static final long DEADLINE_MS = 30_000;
+
+    /** What happened to one request. */
+    static final class Request {
+        final AccountId account;
+        final long arrivedMillis;
+        long repliedMillis = -1;
+        long endedMillis = -1;
+        int replies;
+        boolean served;
+
+        Request(AccountId account, long arrivedMillis) {
+            this.account = account;
+            this.arrivedMillis = arrivedMillis;
+        }
+    }
+
+    private final MemoryFleet fleet;
+    private final RandomGenerator random;
+    private final Map<AccountId, AccountSpec> accounts = new TreeMap<>();
+    private final Map<InstanceId, Admission> admissions = new TreeMap<>();
+    private final List<Request> requests = new ArrayList<>();
+    private final Function<MemoryRouter, Admission> admission;
+
+    AccountBench(long seed, int routers, Function<AccountBench, Function<MemoryRouter, Admission>> admission) {
+        fleet = new MemoryFleet(seed);
+        random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.admission = admission.apply(this);
+        fleet.start(routers, List.of("milano", "torino", "verona"));
+    }
+
+    MemoryFleet fleet() {
+        return fleet;
+    }
+
+    List<Request> requests() {
+        return requests;
+    }
+
+    AccountSpec account(String name) {
+        return accounts.get(new AccountId(name));
+    }
+
+    /** Returns the way of admission that is under test. */
+    static Function<AccountBench, Function<MemoryRouter, Admission>> fair(FairAdmission.Capacity capacity) {
+        return bench -> router -> new FairAdmission(
+                capacity,
+                router.core().accounts(),
+                bench.fleet.time().clock(),
+                (millis, action) -> bench.fleet.time().after(millis, action));
+    }
+
+    AccountBench with(String name, Priority priority, double rate, int concurrent) {
+        AccountId id = new AccountId(name);
+        accounts.put(id, new AccountSpec(id, String.format("%064x", accounts.size()), priority, rate, concurrent));
+        return this;
+    }
+
+    /** Publishes the accounts and waits until they are in force. */
+    AccountBench publish() {
+        fleet.run(1_000);
+        String text = accounts.values().stream()
+                .map(account -> String.join(
+                        "\n",
+                        "[account " + account.id() + "]",
+                        "key-sha256 = " + account.keySha256(),
+                        "priority = " + account.priority().name().toLowerCase(java.util.Locale.ROOT),
+                        "rate = " + account.requestsPerSecond(),
+                        "concurrent = " + account.concurrent()))
+                .collect(Collectors.joining("\n"));
+        MemoryStore store = new MemoryStore(
+                fleet.time(),
+                fleet.random(),
+                fleet.table(),
+                fleet.router("router-0").store().faults());
+        new Publisher(store, "publication", Map.of("accounts.ini", text), Set.of(), result -> {}).call();
+        fleet.run(4_000);
+        return this;
+    }
+
+    /** Sends an account's requests for a time at random moments to routers that serve. */
+    void load(String account, double perSecond, long holdMillis, long forMillis, Predicate<MemoryRouter> to) {
+        long end = fleet.time().now() + forMillis;
+        next(account(account), perSecond, holdMillis, fleet.time().now(), end, to);
+    }
+
+    /** Returns the router that sums an account. */
+    String summerOf(String account) {
+        long key = Rendezvous.hash(account);
+        return fleet.routers()
+                .map(router -> router.id().value())
+                .max(java.util.Comparator.comparingDouble(id -> Rendezvous.score(key, Rendezvous.hash(id), 1)))
+                .orElseThrow();
+    }
+
+    /** Returns names of routers by their numbers. */
+    static Predicate<MemoryRouter> numbered(int from, int to) {
+        Set<String> names =
+                IntStream.range(from, to).mapToObj(i -> "router-" + i).collect(Collectors.toSet());
+        return router -> names.contains(router.id().value());
+    }
+
+    private void next(
+            AccountSpec account, double perSecond, long holdMillis, double last, long end, Predicate<MemoryRouter> to) {
+        double arrival = last - Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+        if (arrival < end) {
+            fleet.time().after((long) arrival - fleet.time().now(), () -> {
+                next(account, perSecond, holdMillis, arrival, end, to);
+                request(account, holdMillis, to);
+            });
+        }
+    }
+
+    private void request(AccountSpec account, long holdMillis, Predicate<MemoryRouter> to) {
+        List<MemoryRouter> serving =
+                fleet.routers().filter(router -> !router.frozen()).filter(to).toList();
+        if (serving.isEmpty()) {
+            return;
+        }
+        MemoryRouter router = serving.get(random.nextInt(serving.size()));
+        Request request = new Request(account.id(), fleet.time().now());
+        requests.add(request);
+        long hold = Math.round(holdMillis * (0.5 + random.nextDouble()));
+        admissions
+                .computeIfAbsent(router.id(), id -> admission.apply(router))
+                .admit(
+                        new Admission.Demand(account, account.priority(), request.arrivedMillis + DEADLINE_MS),
+                        reply -> {
+                            request.replies++;
+                            request.repliedMillis = fleet.time().now();
+                            request.served = reply.isRight();
+                            reply.peek(permit -> fleet.time().after(hold, () -> {
+                                request.endedMillis = fleet.time().now();
+                                permit.release();
+                            }));
+                        });
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/admission/FairAdmission.java
+++ b/org.cuminspur/src/org/cuminspur/admission/FairAdmission.java
@@ -13,8 +13,8 @@
  * Admits requests within the accounts' limits, and shares a number of slots fairly between those that wait.
  *
  * <p>Thread-safe; replies are given outside the lock. A request waits for no longer than the capacity's bound. It is
- * refused at once if it is over its account's limit, if its expected wait passes that bound or its deadline, or if the
- * queue is full and no waiting request would be served later than it. Refused requests have not run.
+ * refused at once if it is over its account's limit, or if its expected wait passes that bound or its deadline. When the
+ * queue is full, the account that has the most waiting loses its last request. Refused requests have not run.
  */
 public final class FairAdmission implements Admission {
     private static final double HELD_GAIN = 1.0 / 32;
@@ -108,7 +108,7 @@
             return;
         }
         if (queue.size() > capacity.waiting()) {
-            FairQueue.Entry<Waiting> last = queue.removeLast();
+            FairQueue.Entry<Waiting> last = queue.removeFromLongest();
             refuse(last, replies);
             if (last == entry) {
                 return;
--- a/org.cuminspur/src/org/cuminspur/admission/FairQueue.java
+++ b/org.cuminspur/src/org/cuminspur/admission/FairQueue.java
@@ -1,5 +1,6 @@
 package org.cuminspur.admission;
 
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,10 +12,13 @@
  * Orders waiting requests by start-time fair queueing over flows, one flow for each account and priority.
  *
  * <p>Used under one lock. While flows wait, each is given slot time in proportion to its priority's weight, so that
- * no flow starves, and a flow that sent nothing for a while gains no credit. Memory is bounded by the requests that
+ * no flow starves. A flow that sent nothing for a while gains credit for a burst of two requests and no more. Memory is bounded by the requests that
  * wait and the flows that were served since the virtual time they are charged up to.
  */
 final class FairQueue<T> {
+    /** Requests for which a flow that sent nothing for a while goes before flows that have used their share. */
+    private static final int BURST = 2;
+
     private static final int PRUNE_SIZE = 256;
 
     /** A request in the queue; immutable. */
@@ -25,6 +29,7 @@
 
     private final TreeSet<Entry<T>> entries =
             new TreeSet<>(Comparator.<Entry<T>>comparingDouble(Entry::start).thenComparingLong(Entry::sequence));
+    private final Map<AccountId, Integer> waiting = new HashMap<>();
     private final Map<Flow, Double> finishes = new HashMap<>();
     private double virtualTime;
     private long sequence;
@@ -32,10 +37,12 @@
     /** Adds a request that is expected to hold a slot for {@code slotMillis}. */
     Entry<T> add(Flow flow, double slotMillis, T item) {
         double cost = Math.max(1, slotMillis) / weight(flow.priority());
-        double start = Math.max(virtualTime, finishes.getOrDefault(flow, 0.0));
+        double credit = BURST * cost;
+        double start = Math.max(virtualTime - credit, finishes.getOrDefault(flow, Double.NEGATIVE_INFINITY));
         Entry<T> entry = new Entry<>(flow, start, cost, sequence++, item);
         finishes.put(flow, start + cost);
         entries.add(entry);
+        waiting.merge(flow.account(), 1, Integer::sum);
         return entry;
     }
 
@@ -43,6 +50,7 @@
     Entry<T> poll() {
         Entry<T> next = entries.pollFirst();
         if (next != null) {
+            left(next.flow().account());
             virtualTime = Math.max(virtualTime, next.start());
         }
         if (finishes.size() > PRUNE_SIZE) {
@@ -51,9 +59,13 @@
         return next;
     }
 
-    /** Removes the request that would be served last. */
-    Entry<T> removeLast() {
-        Entry<T> last = entries.last();
+    /** Removes the last request of the account that has the most waiting, the one served latest on a tie. */
+    Entry<T> removeFromLongest() {
+        int most = Collections.max(waiting.values());
+        Entry<T> last = entries.descendingSet().stream()
+                .filter(entry -> waiting.get(entry.flow().account()) == most)
+                .findFirst()
+                .orElseThrow();
         remove(last);
         return last;
     }
@@ -62,6 +74,7 @@
     boolean remove(Entry<T> entry) {
         boolean waited = entries.remove(entry);
         if (waited) {
+            left(entry.flow().account());
             finishes.computeIfPresent(entry.flow(), (flow, finish) -> finish - entry.cost());
         }
         return waited;
@@ -76,6 +89,10 @@
         return entries.size();
     }
 
+    private void left(AccountId account) {
+        waiting.computeIfPresent(account, (id, count) -> count == 1 ? null : count - 1);
+    }
+
     private static double weight(Priority priority) {
         return switch (priority) {
             case HIGH -> 4;
--- a/org.cuminspur/src/org/cuminspur/control/system/AccountShareSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/AccountShareSystem.java
@@ -39,7 +39,7 @@
     private static final long SAMPLE_INTERVAL_MS = 500;
     private static final long MIN_REPORT_INTERVAL_MS = 1_000;
     private static final long REPORT_INTERVAL_PER_ROUTER_MS = 6;
-    private static final long FIRST_REPORT_SPREAD_PER_ROUTER_MS = 20;
+    private static final long FIRST_REPORT_SPREAD_PER_ROUTER_MS = 250;
     private static final double MIN_HEAVY_RATE = 0.5;
     private static final double MIN_HEAVY_CONCURRENT = 2;
 
@@ -84,6 +84,7 @@
             nextSampleMillis = turn.now() + SAMPLE_INTERVAL_MS;
             gauges.forgetIdle(turn.now());
             summer.forget(turn.now());
+            held.forEach((account, one) -> expireIfMoved(account, one, turn.now()));
             report(heaviest(turn.now()), turn);
         }
         gauges.stream().forEach(gauge -> limit(gauge, turn.now()));
@@ -181,19 +182,21 @@
         AccountSpec account = published(gauge);
         AccountLimit even = AccountLimit.even(account, gauges.routers());
         Held one = held.get(account.id());
-        gauge.limit(one == null || one.share == null ? even : shareOf(account.id(), one, even, now), now);
+        gauge.limit(one == null || one.share == null ? even : shareOf(one, even, now), now);
     }
 
-    private AccountLimit shareOf(AccountId account, Held one, AccountLimit even, long now) {
+    private static AccountLimit shareOf(Held one, AccountLimit even, long now) {
+        return now < one.validUntilMillis
+                ? one.share
+                : one.share.towards(even, Math.min(1, (double) (now - one.validUntilMillis) / DECAY_MS));
+    }
+
+    private void expireIfMoved(AccountId account, Held one, long now) {
         if (now < one.validUntilMillis && !one.summer.equals(summerOf(account))) {
             one.validUntilMillis = now;
             one.ttlMillis = 0;
             one.nextReportMillis = now;
         }
-        if (now < one.validUntilMillis) {
-            return one.share;
-        }
-        return one.share.towards(even, Math.min(1, (double) (now - one.validUntilMillis) / DECAY_MS));
     }
 
     private AccountSpec published(AccountGauge gauge) {
--- a/org.cuminspur/src/org/cuminspur/control/system/AccountSummer.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/AccountSummer.java
@@ -24,7 +24,8 @@
     static final double SILENT_PART = 0.25;
 
     private static final long MIN_TTL_MS = 3_000;
-    private static final long TTL_PER_REPORTER_MS = 450;
+    private static final long TTL_PER_ROUTER_MS = 18;
+    private static final long TTL_PER_REPORTER_MS = 900;
     private static final double HEADROOM = 1.5;
 
     private record Grant(AccountLimit limit, long untilMillis) {
@@ -60,8 +61,9 @@
         AccountLimit granted = new AccountLimit(
                 divide(reporters, from, AccountLimit::requestsPerSecond, even, routers, now),
                 divide(reporters, from, AccountLimit::concurrent, even, routers, now));
-        long ttl = Math.max(MIN_TTL_MS, TTL_PER_REPORTER_MS * reporters.size());
-        if (now < account.sinceMillis() + MIN_TTL_MS + AccountShareSystem.DECAY_MS) {
+        long minTtl = Math.max(MIN_TTL_MS, TTL_PER_ROUTER_MS * routers);
+        long ttl = Math.max(minTtl, TTL_PER_REPORTER_MS * expectedReporters(reporters.size(), routers));
+        if (now < account.sinceMillis() + minTtl + AccountShareSystem.DECAY_MS) {
             granted = least(granted, even);
         }
         Grant grant = new Grant(granted, now + ttl + AccountShareSystem.DECAY_MS);
@@ -69,6 +71,11 @@
         return new Share(usage.account(), granted.requestsPerSecond(), granted.concurrent(), ttl);
     }
 
+    /** Returns how many routers may soon report, so that the first ones come back no faster than all can be heard. */
+    private static int expectedReporters(int heard, int routers) {
+        return Math.min(routers, 2 * heard);
+    }
+
     /** Forgets routers whose grants have run out. */
     void forget(long now) {
         Iterator<Account> each = accounts.values().iterator();
