--- a/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/Main.java
@@ -2,12 +2,15 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.http.LogSetup;
 import org.cuminspur.standin.engine.EngineSettings;
 import org.cuminspur.standin.engine.StandinEngine;
 import org.cuminspur.standin.platform.StandinPlatform;
 import org.cuminspur.standin.service.StandinService;
 
-/** Starts one stand-in as a process of its own and prints the port it listens on. */
+/** Starts stand-ins of one kind as a process of their own and prints the ports they listen on. */
 public final class Main {
     /** The command line's options. */
     private static final class Options {
@@ -20,12 +23,18 @@
         @Parameter(names = "--port", description = "TCP port, 0 for any free one")
         private int port;
 
+        @Parameter(names = "--count", description = "How many to start in this process")
+        private int count = 1;
+
         @Parameter(names = "--name", description = "Name that a service answers with")
         private String name = "service";
 
         @Parameter(names = "--cold-ms", description = "How long an engine is cold")
         private long coldMillis;
 
+        @Parameter(names = "--slots", description = "Requests that an engine serves at the same time")
+        private int slots = EngineSettings.QUICK.slots();
+
         @Parameter(names = "--answer-tokens", description = "Tokens of an engine's answer")
         private int answerTokens = EngineSettings.QUICK.answerTokens();
 
@@ -37,13 +46,17 @@
 
     /** Runs until the process is ended. */
     public static void main(String[] args) {
+        LogSetup.use("standin-logback.xml");
         Options options = new Options();
         JCommander.newBuilder()
                 .programName("standin")
                 .addObject(options)
                 .build()
                 .parse(args);
-        System.out.println("listening port=" + start(options));
+        String ports = IntStream.range(0, options.count)
+                .mapToObj(number -> " port" + (number == 0 ? "" : "-" + number) + "=" + start(options))
+                .collect(Collectors.joining());
+        System.out.println("listening" + ports);
     }
 
     private static int start(Options options) {
@@ -58,7 +71,7 @@
     private static EngineSettings engine(Options options) {
         EngineSettings quick = EngineSettings.QUICK;
         return new EngineSettings(
-                quick.slots(),
+                options.slots,
                 quick.cacheTokens(),
                 quick.promptTokenMicros(),
                 options.answerTokenMillis,
