Report service against its objectives over all instances

Operators could not see whether services meet their published objectives. Each router counts good and bad requests by the minute and records times in histograms; cuminspur report sums them over the instances that answer, as text, JSON or one HTML page. Ruled out: exponential averages (cannot be summed into the alarm's windows), histograms for each account (memory), a 30-day budget (instances keep nothing). The cost of recording is not measured.

--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/Main.java
@@ -63,6 +63,7 @@
         commands.put("take-out", new TakeOut());
         commands.put("bring-back", new BringBack());
         commands.put("status", new Status());
+        commands.put("report", new Report());
         return commands;
     }
 
--- a/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/Fleet.java
+++ b/org.cuminspur.pgm/src/org/cuminspur/pgm/internal/Fleet.java
@@ -18,6 +18,8 @@
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.http.platform.EtcdStore;
 import org.cuminspur.http.platform.InstanceList;
+import org.cuminspur.slo.BurnReport;
+import org.cuminspur.slo.BurnReportCodec;
 import org.cuminspur.store.Store;
 import org.cuminspur.time.Clock;
 
@@ -69,6 +71,14 @@
                 .toList();
     }
 
+    /** Returns the burn reports of the routers that answered. */
+    public List<BurnReport> burnReports(List<ListedInstance> routers) {
+        return routers.parallelStream()
+                .map(router -> get(router, "/slo").flatMap(BurnReportCodec::decode))
+                .flatMap(Option::toJavaStream)
+                .toList();
+    }
+
     /** Gives an order to a router; returns whether it was accepted. */
     public boolean order(ListedInstance router, Target target, boolean out, String by) {
         String path =
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholePathTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholePathTest.java
@@ -3,10 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.http.client.HttpAnswer;
 import org.cuminspur.http.client.HttpHeader;
@@ -95,6 +101,22 @@
     }
 
     @Test(dependsOnMethods = {"streamedChatComesBackWholeFromBothRouters", "plainServiceIsReachedByItsPath"})
+    public void reportShowsTheTrafficOfAllInstances() throws IOException {
+        Path page = Files.createTempFile("burn-report", ".html");
+        String text = run("report", "--html", page.toString());
+        assertTrue(text.startsWith("2 of 2 instances answered"), text);
+        JsonNode json = new ObjectMapper().readTree(run("report", "--json"));
+        JsonNode chats = json.at("/rows").path(0).path("service").asText().equals("appraisal")
+                ? json.at("/rows/0/counts/6h")
+                : json.at("/rows/1/counts/6h");
+        assertEquals(chats.path("good").asInt() + chats.path("bad").asInt(), 2, json.toString());
+        assertEquals(json.at("/percentiles/appraisal/first_token_ms/count").asInt(), 2);
+        String html = Files.readString(page);
+        assertTrue(html.contains("<svg") && html.contains("buyer-desk"), html);
+        assertTrue(!html.contains("http://") && !html.contains("https://"), html);
+    }
+
+    @Test(dependsOnMethods = "reportShowsTheTrafficOfAllInstances")
     public void takenOutDomainIsOutOnAllRoutersUntilBroughtBack() {
         assertEquals(run("take-out", "domain/noord-b"), "domain/noord-b is out of service on 2 of 2 instances\n");
         assertEquals(
@@ -124,16 +146,13 @@
                 new HttpHeader("Content-Type", "application/json"));
     }
 
-    private String run(String command, String argument) {
+    private String run(String command, String... arguments) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrintStream stream = new PrintStream(out, true, StandardCharsets.UTF_8);
-        ExitCode code = Main.run(
-                stream,
-                System.err,
-                command,
-                "--settings",
-                fleet.operatorSettings().toString(),
-                argument);
+        List<String> line = new ArrayList<>(
+                List.of(command, "--settings", fleet.operatorSettings().toString()));
+        line.addAll(List.of(arguments));
+        ExitCode code = Main.run(stream, System.err, line.toArray(String[]::new));
         assertEquals(code, ExitCode.DONE, out.toString(StandardCharsets.UTF_8));
         return out.toString(StandardCharsets.UTF_8);
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -13,6 +13,7 @@
 import org.cuminspur.router.internal.control.ControlLoop;
 import org.cuminspur.router.internal.once.LedgerDriver;
 import org.cuminspur.router.internal.operator.OperatorServer;
+import org.cuminspur.slo.BurnRecorder;
 import org.cuminspur.time.Clock;
 
 /**
@@ -51,14 +52,16 @@
                 settings.peers().key(),
                 metrics,
                 (from, message) -> control.post(new ControlInput.PeerReceived(from, message)));
+        BurnRecorder burn = new BurnRecorder(clock);
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
                 AccountAdmission.start(settings.callers().threads(), control.accounts(), clock, metrics),
                 once.ledger(),
                 new UpstreamCaller(http, clock, metrics),
-                clock);
+                clock,
+                burn);
         callers = new CallerServer(settings, pipeline, metrics);
-        operators = new OperatorServer(settings, control, metrics);
+        operators = new OperatorServer(settings, control, metrics, burn);
     }
 
     /** Starts a router. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -30,15 +30,22 @@
     private final HttpServerExchange exchange;
     private final MetricRegistry metrics;
     private boolean eventStream;
+    private AnswerTimes times = new AnswerTimes(() -> 0);
 
     CallerAnswer(HttpServerExchange exchange, MetricRegistry metrics) {
         this.exchange = exchange;
         this.metrics = metrics;
     }
 
+    /** Sets what notes how and when this answer is written. */
+    void times(AnswerTimes value) {
+        times = value;
+    }
+
     /** Begins an answer. */
     void begin(int status, List<HttpHeader> headers) {
         exchange.setStatusCode(status);
+        times.begin(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
         eventStream = headers.stream()
                 .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type")
@@ -49,11 +56,13 @@
     void write(byte[] piece) throws IOException {
         exchange.getOutputStream().write(piece);
         exchange.getOutputStream().flush();
+        times.piece();
     }
 
     /** Answers a repeat with the first request's answer. */
     void repeat(StoredAnswer stored) {
         exchange.setStatusCode(stored.status());
+        times.begin(stored.status());
         exchange.getResponseHeaders().put(REPEATED, "true");
         if (!stored.contentType().isEmpty()) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, stored.contentType());
@@ -64,6 +73,7 @@
     /** Answers with a refusal, or breaks the answer off if it has begun. */
     void refuse(Refusal refusal) {
         metrics.counter("refused." + refusal.kind().label()).inc();
+        times.refuse(refusal.kind());
         if (exchange.isResponseStarted()) {
             breakOff(refusal);
             return;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -1,6 +1,7 @@
 package org.cuminspur.router.internal.caller;
 
 import io.vavr.control.Either;
+import io.vavr.control.Option;
 import io.vavr.control.Try;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 import org.cuminspur.once.ActionId;
 import org.cuminspur.once.ActionLedger;
 import org.cuminspur.routing.RoutingSnapshot;
+import org.cuminspur.slo.RequestObserver;
 import org.cuminspur.time.Clock;
 
 /**
@@ -32,25 +34,28 @@
     private final ActionLedger ledger;
     private final UpstreamCaller upstreams;
     private final Clock clock;
+    private final RequestObserver observer;
 
     public RequestPipeline(
             Supplier<RoutingSnapshot> snapshots,
             Admission admission,
             ActionLedger ledger,
             UpstreamCaller upstreams,
-            Clock clock) {
+            Clock clock,
+            RequestObserver observer) {
         this.snapshots = snapshots;
         this.admission = admission;
         this.ledger = ledger;
         this.upstreams = upstreams;
         this.clock = clock;
+        this.observer = observer;
     }
 
     void serve(CallerRequest request, CallerAnswer answer) {
         RoutingSnapshot snapshot = snapshots.get();
         Either<Refusal, RoutedRequest> routed = route(snapshot, request);
         routed.peekLeft(answer::refuse);
-        routed.peek(known -> admitted(snapshot, known, answer));
+        routed.peek(known -> observed(snapshot, known, answer));
     }
 
     private Either<Refusal, RoutedRequest> route(RoutingSnapshot snapshot, CallerRequest request) {
@@ -70,6 +75,18 @@
         return new RoutedRequest(request, account, route, ChatHash.of(account, request), priority, deadline);
     }
 
+    private void observed(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+        AnswerTimes times = new AnswerTimes(clock);
+        answer.times(times);
+        try {
+            admitted(snapshot, routed, answer);
+        } finally {
+            Option.of(snapshot.upstreams().get(routed.route().service()))
+                    .flatMap(set -> times.outcome(routed, set.service().objective()))
+                    .forEach(observer::observe);
+        }
+    }
+
     private void admitted(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
         CompletableFuture<Either<Refusal, Admission.Permit>> reply = new CompletableFuture<>();
         admission.admit(
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/operator/OperatorServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/operator/OperatorServer.java
@@ -1,5 +1,6 @@
 package org.cuminspur.router.internal.operator;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.Undertow;
 import io.undertow.server.HttpHandler;
@@ -12,10 +13,14 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Deque;
+import java.util.stream.Stream;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.Target;
 import org.cuminspur.router.RouterSettings;
 import org.cuminspur.router.internal.control.ControlLoop;
+import org.cuminspur.slo.BurnRecorder;
+import org.cuminspur.slo.BurnReportCodec;
+import org.cuminspur.slo.BurnWindow;
 
 /**
  * The server that operators, the balancer and monitoring speak to; thread-safe.
@@ -29,13 +34,20 @@
     private final ControlLoop control;
     private final byte[] key;
 
-    public OperatorServer(RouterSettings settings, ControlLoop control, MetricRegistry metrics) {
+    public OperatorServer(RouterSettings settings, ControlLoop control, MetricRegistry metrics, BurnRecorder burn) {
         this.control = control;
         this.key = settings.operators().key().getBytes(StandardCharsets.UTF_8);
+        Stream.of(BurnWindow.values())
+                .forEach(window ->
+                        metrics.register("slo.alarms." + window.longLabel(), (Gauge<Long>) () -> burn.alarms(window)));
         RoutingHandler routes = new RoutingHandler()
                 .get("/live", exchange -> send(exchange, 200, "text/plain", "live\n"))
                 .get("/ready", this::ready)
                 .get("/status", keyed(exchange -> json(exchange, StatusJson.of(control))))
+                .get(
+                        "/slo",
+                        keyed(exchange -> json(
+                                exchange, BurnReportCodec.encode(burn.report()).toString())))
                 .get(
                         "/metrics",
                         keyed(exchange -> send(exchange, 200, "text/plain; version=0.0.4", PrometheusText.of(metrics))))
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/slo/BurnRecorder.java
@@ -0,0 +1,112 @@
+package org.cuminspur.slo;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.cuminspur.config.Objective;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.time.Clock;
+
+/**
+ * Records how one instance serves each service and client account.
+ *
+ * <p>Thread-safe. Memory is bounded: counts for a number of pairs of service and account, histograms for a number of
+ * services; outcomes beyond these are counted as dropped.
+ */
+public final class BurnRecorder implements RequestObserver {
+    private static final int MAX_PAIRS = 4_096;
+    private static final int MAX_SERVICES = 256;
+    private static final long MAX_TIME_MS = 600_000;
+    private static final int DIGITS = 2;
+
+    private record Pair(ServiceId service, AccountId account) {}
+
+    private static final class Row {
+        private final CountRing ring = new CountRing();
+        private volatile Objective objective;
+    }
+
+    private final Clock clock;
+    private final long sinceMillis;
+    private final ConcurrentMap<Pair, Row> rows = new ConcurrentHashMap<>();
+    private final ConcurrentMap<ServiceId, BurnReport.Latency> latencies = new ConcurrentHashMap<>();
+    private final LongAdder dropped = new LongAdder();
+
+    public BurnRecorder(Clock clock) {
+        this.clock = clock;
+        this.sinceMillis = clock.millis();
+    }
+
+    @Override
+    public void observe(RequestOutcome outcome) {
+        Pair pair = new Pair(outcome.service(), outcome.account());
+        Row row = held(rows, pair, MAX_PAIRS, Row::new);
+        BurnReport.Latency latency = held(latencies, outcome.service(), MAX_SERVICES, BurnRecorder::latency);
+        if (row == null || latency == null) {
+            dropped.increment();
+            return;
+        }
+        row.objective = outcome.objective();
+        row.ring.add(outcome.good(), clock.millis());
+        record(latency.firstToken(), outcome.firstTokenMillis());
+        record(latency.betweenTokens(), Math.round(outcome.betweenTokensMillis()));
+    }
+
+    /** Returns what was recorded. */
+    public BurnReport report() {
+        Map<ServiceId, BurnReport.Latency> copies = latencies.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> copy(entry.getValue())));
+        return new BurnReport(sinceMillis, dropped.sum(), rows(), copies);
+    }
+
+    /** Returns for how many pairs of service and account a window raises the alarm. */
+    public long alarms(BurnWindow window) {
+        return rows().stream().filter(window::alarms).count();
+    }
+
+    private List<BurnRow> rows() {
+        long now = clock.millis();
+        return rows.entrySet().stream()
+                .filter(entry -> entry.getValue().objective != null)
+                .map(entry -> row(entry.getKey(), entry.getValue(), now))
+                .toList();
+    }
+
+    private static BurnRow row(Pair pair, Row row, long now) {
+        Map<String, Counts> counts = Stream.of(BurnWindow.values())
+                .flatMap(window -> Stream.of(
+                        Map.entry(window.shortLabel(), row.ring.last(window.shortMillis(), now)),
+                        Map.entry(window.longLabel(), row.ring.last(window.longMillis(), now))))
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+        return new BurnRow(pair.service(), pair.account(), row.objective.inTimeShare(), counts);
+    }
+
+    private static <K, V> V held(ConcurrentMap<K, V> map, K key, int max, Supplier<V> create) {
+        V value = map.get(key);
+        return value != null || map.size() >= max ? value : map.computeIfAbsent(key, absent -> create.get());
+    }
+
+    private static BurnReport.Latency latency() {
+        return new BurnReport.Latency(
+                new ConcurrentHistogram(MAX_TIME_MS, DIGITS), new ConcurrentHistogram(MAX_TIME_MS, DIGITS));
+    }
+
+    private static BurnReport.Latency copy(BurnReport.Latency latency) {
+        return new BurnReport.Latency(
+                latency.firstToken().copy(), latency.betweenTokens().copy());
+    }
+
+    private static void record(Histogram histogram, long millis) {
+        if (millis >= 0) {
+            histogram.recordValue(Math.min(millis, MAX_TIME_MS));
+        }
+    }
+}
