--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.concurrent.TimeUnit;
-import org.cuminspur.admission.ConcurrencyAdmission;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.EtcdStore;
@@ -11,9 +10,11 @@
 import org.cuminspur.router.internal.caller.CallerServer;
 import org.cuminspur.router.internal.caller.RequestPipeline;
 import org.cuminspur.router.internal.caller.UpstreamCaller;
+import org.cuminspur.router.internal.control.AccountAdmission;
 import org.cuminspur.router.internal.control.ControlLoop;
 import org.cuminspur.router.internal.once.LedgerDriver;
 import org.cuminspur.router.internal.operator.OperatorServer;
+import org.cuminspur.slo.BurnRecorder;
 import org.cuminspur.time.Clock;
 
 /**
@@ -54,14 +55,16 @@
                 settings.peers().key(),
                 metrics,
                 (from, message) -> control.post(new ControlInput.PeerReceived(from, message)));
+        BurnRecorder burn = new BurnRecorder(clock);
         RequestPipeline pipeline = new RequestPipeline(
                 control::snapshot,
-                new ConcurrencyAdmission(settings.callers().threads()),
+                AccountAdmission.start(settings.callers().threads(), control.accounts(), clock, metrics),
                 once.ledger(),
                 new UpstreamCaller(http, clock, metrics),
-                clock);
+                clock,
+                burn);
         callers = new CallerServer(settings, pipeline, metrics);
-        operators = new OperatorServer(settings, control, metrics);
+        operators = new OperatorServer(settings, control, metrics, burn);
     }
 
     /** Starts a router. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -34,6 +34,7 @@
     private final Cancellation gone;
     private boolean eventStream;
     private XnioExecutor.Key limit;
+    private AnswerTimes times = new AnswerTimes(() -> 0);
 
     /**
      * Makes an answer.
@@ -51,6 +52,11 @@
         return gone;
     }
 
+    /** Sets what notes how and when this answer is written. */
+    void times(AnswerTimes value) {
+        times = value;
+    }
+
     /** Closes the caller's connection soon after the deadline, lest a caller that does not read holds the thread. */
     void endWithin(long millis) {
         limit = exchange.getIoThread()
@@ -76,6 +82,7 @@
     void begin(int status, List<HttpHeader> headers) {
         exchange.getResponseHeaders().clear();
         exchange.setStatusCode(status);
+        times.begin(status);
         headers.forEach(header -> exchange.getResponseHeaders().add(new HttpString(header.name()), header.value()));
         eventStream = EventStreams.isOne(headers);
         markEnd();
@@ -89,6 +96,7 @@
         try {
             exchange.getOutputStream().write(piece);
             exchange.getOutputStream().flush();
+            times.piece();
             return true;
         } catch (IOException e) {
             gone.cancel();
@@ -99,6 +107,7 @@
     /** Answers a repeat with the first request's answer. */
     void repeat(StoredAnswer stored) {
         exchange.setStatusCode(stored.status());
+        times.begin(stored.status());
         exchange.getResponseHeaders().put(REPEATED, "true");
         if (!stored.contentType().isEmpty()) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, stored.contentType());
@@ -110,6 +119,7 @@
     /** Answers with a refusal, or marks the answer as incomplete if it has begun. */
     void refuse(Refusal refusal) {
         metrics.counter("refused." + refusal.kind().label()).inc();
+        times.refuse(refusal.kind());
         if (!started()) {
             RefusalHead.set(exchange, refusal);
             markEnd();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.cuminspur.admission.AccountGauges;
 import org.cuminspur.control.ControlCore;
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.ListedInstance;
@@ -84,6 +85,11 @@
         return core.snapshot();
     }
 
+    /** Returns the gauges of the accounts that this router serves. */
+    public AccountGauges accounts() {
+        return core.accounts();
+    }
+
     /**
      * Reads the tables on the control thread and waits for the result.
      *
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -4,6 +4,8 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import org.cuminspur.admission.AccountGauges;
+import org.cuminspur.control.system.AccountShareSystem;
 import org.cuminspur.control.system.ConfigSystem;
 import org.cuminspur.control.system.GossipSystem;
 import org.cuminspur.control.system.LeavingSystem;
@@ -45,7 +47,8 @@
                 new StoreWatchSystem(tables, random),
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
-                new GossipSystem(tables, random));
+                new GossipSystem(tables, random),
+                new AccountShareSystem(tables, random));
     }
 
     /** Acts on one input. */
@@ -70,6 +73,11 @@
         return snapshot;
     }
 
+    /** Returns the gauges of the accounts that this router serves; may be called on any thread. */
+    public AccountGauges accounts() {
+        return tables.accounts();
+    }
+
     /** Returns the tables; for use on the control thread. */
     public Tables tables() {
         return tables;
