--- a/org.cuminspur.test/tst/org/cuminspur/admission/AccountBench.java
+++ b/org.cuminspur.test/tst/org/cuminspur/admission/AccountBench.java
@@ -16,6 +16,7 @@
 import org.cuminspur.id.AccountId;
 import org.cuminspur.id.InstanceId;
 import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.publish.Backoff;
 import org.cuminspur.publish.Publisher;
 import org.cuminspur.testing.MemoryFleet;
 import org.cuminspur.testing.MemoryRouter;
@@ -102,7 +103,8 @@
                 fleet.random(),
                 fleet.table(),
                 fleet.router("router-0").store().faults());
-        new Publisher(store, "publication", Map.of("accounts.ini", text), Set.of(), result -> {}).call();
+        Backoff backoff = new Backoff(fleet.time().clock(), fleet.time()::after, fleet.random(), 4_000);
+        new Publisher(store, "publication", Map.of("accounts.ini", text), Set.of(), backoff, result -> {}).call();
         fleet.run(4_000);
         return this;
     }
