--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/PeerMessageBenchmark.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/PeerMessageBenchmark.java
@@ -1,5 +1,6 @@
 package org.cuminspur.benchmarks.speed;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.control.message.PeerMessage;
@@ -31,8 +32,8 @@
     private static final InstanceId TO = new InstanceId("router-2");
 
     private final PeerAuth auth = new PeerAuth("a-peer-key-of-the-benchmarks");
-    private final PeerMessage.Digest digest =
-            new PeerMessage.Digest(new FailureDomainId("milano"), new Revision(2_300), 0x1234_5678_9ABCL, false);
+    private final PeerMessage.Digest digest = new PeerMessage.Digest(
+            new FailureDomainId("milano"), new Revision(2_300), 0x1234_5678_9ABCL, false, true, 1_000, List.of());
     private final Frame frame = auth.sign(FROM, TO, PeerCodec.encode(digest));
 
     /** Encodes and signs a digest. */
