Spill hot upstreams and ramp cold ones in the control core

Placement was plain rendezvous with a slots limit, and nothing probed an upstream. Systems now forecast load, rank routers for cold upstreams, probe, and spread alerts through a collector that rotates. Probes are carried out.

Stand-in instances are listed as started an hour ago, so that process tests of other matters do not meet the cold-start limit.

Not measured yet.

--- a/org.cuminspur.peer/src/org/cuminspur/peer/internal/PeerCodec.java
+++ b/org.cuminspur.peer/src/org/cuminspur/peer/internal/PeerCodec.java
@@ -1,6 +1,7 @@
 package org.cuminspur.peer.internal;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -146,7 +147,7 @@
     }
 
     private static UpstreamAlerts encode(PeerMessage.UpstreamAlerts alerts) {
-        UpstreamAlerts.Builder builder = UpstreamAlerts.newBuilder();
+        UpstreamAlerts.Builder builder = UpstreamAlerts.newBuilder().setHops(alerts.hops());
         alerts.alerts()
                 .forEach(alert -> builder.addAlerts(UpstreamAlert.newBuilder()
                         .setUpstream(alert.upstream().value())
@@ -158,14 +159,15 @@
     }
 
     private static PeerMessage decode(UpstreamAlerts alerts) {
-        return new PeerMessage.UpstreamAlerts(alerts.getAlertsList().stream()
+        List<PeerMessage.UpstreamAlert> list = alerts.getAlertsList().stream()
                 .map(alert -> new PeerMessage.UpstreamAlert(
                         new UpstreamId(alert.getUpstream()),
                         PeerMessage.UpstreamAlert.Kind.valueOf(alert.getKind().name()),
                         alert.getIncarnation(),
                         alert.getObservedMillis(),
                         alert.getLoad()))
-                .toList());
+                .toList();
+        return new PeerMessage.UpstreamAlerts(list, alerts.getHops());
     }
 
     private static AccountUsage encode(PeerMessage.AccountUsage usage) {
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -37,7 +37,7 @@
         http = new HttpClient(clock, IO_THREADS, platform.timeoutMillis());
         store = new EtcdStore(http, platform.store(), platform.timeoutMillis());
         InstanceList instances = new InstanceList(http, platform.instances(), platform.timeoutMillis());
-        control = new ControlLoop(settings.self(), clock, store, instances, metrics);
+        control = new ControlLoop(settings.self(), clock, store, instances, http, metrics);
         peers = new PeerLinks(
                 settings.self().id(),
                 settings.host(),
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -17,6 +17,7 @@
 import org.cuminspur.control.ControlInput;
 import org.cuminspur.control.Self;
 import org.cuminspur.control.Tables;
+import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.InstanceList;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.routing.RoutingSnapshot;
@@ -38,17 +39,20 @@
     private final Clock clock;
     private final InstanceList instances;
     private final ControlCore core;
+    private final UpstreamProber prober;
     private final OutputRunner outputs;
     private final Timer ticks;
     private final ScheduledExecutorService thread = executor("control");
     private final ScheduledExecutorService lister = executor("instance-list");
 
-    public ControlLoop(Self self, Clock clock, Store store, InstanceList instances, MetricRegistry metrics) {
+    public ControlLoop(
+            Self self, Clock clock, Store store, InstanceList instances, HttpClient http, MetricRegistry metrics) {
         this.clock = clock;
         this.instances = instances;
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong());
         core = new ControlCore(self, random);
-        outputs = new OutputRunner(store, core, this::post);
+        prober = new UpstreamProber(http, clock);
+        outputs = new OutputRunner(store, core, prober, this::post);
         ticks = metrics.timer("control.tick");
     }
 
@@ -83,6 +87,7 @@
     public void close() {
         lister.shutdownNow();
         thread.shutdownNow();
+        prober.close();
     }
 
     private void tick() {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/OutputRunner.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/OutputRunner.java
@@ -8,6 +8,7 @@
 import org.cuminspur.control.ControlOutput;
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.control.PeerRow;
+import org.cuminspur.control.UpstreamRow;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.store.Store;
 import org.slf4j.Logger;
@@ -18,12 +19,14 @@
     private static final Logger log = LoggerFactory.getLogger("org.cuminspur.state");
 
     private final Store store;
+    private final UpstreamProber prober;
     private final ControlCore core;
     private final Consumer<ControlInput> post;
     private final Map<String, Store.Watch> watches = new HashMap<>();
     private PeerLinks peers;
 
-    OutputRunner(Store store, ControlCore core, Consumer<ControlInput> post) {
+    OutputRunner(Store store, ControlCore core, UpstreamProber prober, Consumer<ControlInput> post) {
+        this.prober = prober;
         this.store = store;
         this.core = core;
         this.post = post;
@@ -45,6 +48,8 @@
             watches.put(start.prefix(), watch(start));
         } else if (output instanceof ControlOutput.StopWatch stop) {
             stop(stop);
+        } else if (output instanceof ControlOutput.ProbeUpstream probe) {
+            probe(probe);
         } else if (output instanceof ControlOutput.StateChanged changed) {
             log.info("event={} {}", changed.event(), changed.detail());
         }
@@ -58,6 +63,13 @@
         }
     }
 
+    private void probe(ControlOutput.ProbeUpstream probe) {
+        UpstreamRow row = core.tables().upstream(probe.upstream());
+        if (row != null) {
+            prober.probe(row);
+        }
+    }
+
     private Store.Watch watch(ControlOutput.StartWatch start) {
         return store.watch(
                 start.prefix(),
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/UpstreamProber.java
@@ -0,0 +1,77 @@
+package org.cuminspur.router.internal.control;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.control.UpstreamRow;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpClient;
+import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.http.client.LoadHeader;
+import org.cuminspur.routing.UpstreamGauge;
+import org.cuminspur.time.Clock;
+
+/**
+ * Asks upstreams for their load and hands what they report to their gauges.
+ *
+ * <p>Thread-safe. Probes run on few threads of their own; those that find all threads and the queue full are dropped,
+ * since the next comes soon.
+ */
+final class UpstreamProber implements AutoCloseable {
+    private static final int THREADS = 2;
+    private static final int MAX_WAITING = 256;
+    private static final long TIMEOUT_MS = 500;
+    private static final int SERVER_ERROR = 500;
+
+    private final HttpClient http;
+    private final Clock clock;
+    private final ThreadPoolExecutor executor;
+
+    UpstreamProber(HttpClient http, Clock clock) {
+        this.http = http;
+        this.clock = clock;
+        executor = new ThreadPoolExecutor(
+                THREADS, THREADS, 0, TimeUnit.MILLISECONDS, new ArrayBlockingQueue<>(MAX_WAITING), task -> {
+                    Thread thread = new Thread(task, "upstream-prober");
+                    thread.setDaemon(true);
+                    return thread;
+                });
+    }
+
+    /** Probes an upstream without waiting for it. */
+    void probe(UpstreamRow row) {
+        HttpCall call = HttpCall.get(row.listed().host(), row.listed().port(ListedInstance.HTTP_PORT), "/load");
+        UpstreamGauge gauge = row.gauge();
+        try {
+            executor.execute(() -> run(call, gauge));
+        } catch (RejectedExecutionException e) {
+            gauge.probeDropped();
+        }
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private void run(HttpCall call, UpstreamGauge gauge) {
+        http.open(call, TIMEOUT_MS).forEach(stream -> {
+            try (stream) {
+                read(stream, gauge);
+            }
+        });
+    }
+
+    private void read(HttpStream stream, UpstreamGauge gauge) {
+        if (stream.status() < SERVER_ERROR) {
+            gauge.answered();
+        }
+        LoadHeader.read(stream).forEach(report -> gauge.report(report, clock.millis()));
+        // Reading the body to its end lets the connection serve the next probe.
+        while (stream.next(TIMEOUT_MS).exists(piece -> piece.length > 0)) {
+            continue;
+        }
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -29,6 +29,9 @@
     /** The operators' key of every router. */
     public static final String OPERATOR_KEY = "operators-key-of-the-demo";
 
+    /** Age that instances are listed with, so that routers do not take them for cold. */
+    private static final long LISTED_AGE_MS = 3_600_000;
+
     private static final String HOST = "127.0.0.1";
     private static final String PEER_KEY = "peers-key-of-the-demo";
     private static final long CALL_TIMEOUT_MS = 10_000;
@@ -163,7 +166,7 @@
     }
 
     private ListedInstance list(String name, String service, String domain, Map<String, Integer> ports) {
-        String incarnation = Long.toString(Clock.system().millis());
+        String incarnation = Long.toString(Clock.system().millis() - LISTED_AGE_MS);
         ListedInstance instance =
                 new ListedInstance(name, service, HOST, ports, new FailureDomainId(domain), incarnation, false);
         put(instance);
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -3,10 +3,14 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.cuminspur.control.system.AlertSystem;
+import org.cuminspur.control.system.ColdStartSystem;
 import org.cuminspur.control.system.ConfigSystem;
 import org.cuminspur.control.system.GossipSystem;
+import org.cuminspur.control.system.LoadSystem;
 import org.cuminspur.control.system.MembershipSystem;
 import org.cuminspur.control.system.OrderSystem;
+import org.cuminspur.control.system.ProbeSystem;
 import org.cuminspur.routing.RoutingSnapshot;
 
 /**
@@ -28,7 +32,11 @@
                 new MembershipSystem(tables),
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
-                new GossipSystem(tables, random));
+                new GossipSystem(tables, random),
+                new ProbeSystem(tables),
+                new ColdStartSystem(tables),
+                new LoadSystem(tables),
+                new AlertSystem(tables));
         systems.forEach(system -> system.register(handlers));
         handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
     }
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/LoadState.java
@@ -0,0 +1,113 @@
+package org.cuminspur.control;
+
+/**
+ * What this router and its peers have seen of an upstream's load; used on the control thread only.
+ *
+ * <p>Ratios are work in progress as a multiple of the service's mean.
+ */
+public final class LoadState {
+    private double peerRatio = 1;
+    private long peerObservedMillis = Long.MIN_VALUE;
+    private long peerReceivedMillis = Long.MIN_VALUE;
+    private double toldRatio = 1;
+    private long toldMillis = Long.MIN_VALUE;
+    private double baseWeight = 1;
+    private long weightVersion = Long.MIN_VALUE;
+    private double averageRatio = 1;
+    private long averagedMillis;
+    private long weightMovedMillis;
+    private double weightDrift;
+    private long weightToldMillis;
+
+    /** Returns the load that a peer last told. */
+    public double peerRatio() {
+        return peerRatio;
+    }
+
+    /** Returns when a peer's word last came, or {@link Long#MIN_VALUE}. */
+    public long peerReceivedMillis() {
+        return peerReceivedMillis;
+    }
+
+    /** Takes a peer's word unless a newer one is held. */
+    public void heard(double ratio, long observedMillis, long now) {
+        if (observedMillis > peerObservedMillis) {
+            peerRatio = ratio;
+            peerObservedMillis = observedMillis;
+            peerReceivedMillis = now;
+        }
+    }
+
+    /** Returns the load that this router last told its peers. */
+    public double toldRatio() {
+        return toldRatio;
+    }
+
+    /** Returns when this router last told its peers, or {@link Long#MIN_VALUE}. */
+    public long toldMillis() {
+        return toldMillis;
+    }
+
+    /** Notes what this router tells its peers. */
+    public void told(double ratio, long now) {
+        toldRatio = ratio;
+        toldMillis = now;
+    }
+
+    /** Returns the slow weight that evens out lasting differences; 1 is an even share. */
+    public double baseWeight() {
+        return baseWeight;
+    }
+
+    /** Takes a slow weight unless a newer one is held; returns whether it was taken. */
+    public boolean baseWeight(double weight, long versionMillis) {
+        if (versionMillis <= weightVersion) {
+            return false;
+        }
+        baseWeight = weight;
+        weightVersion = versionMillis;
+        return true;
+    }
+
+    /** Returns the long average of the load as this router has sampled it. */
+    public double averageRatio() {
+        return averageRatio;
+    }
+
+    /** Adds a sample to the long average. */
+    public void sample(double ratio, long now, double timeConstantMillis) {
+        double passed = averagedMillis == 0 ? 0 : now - averagedMillis;
+        averageRatio += (ratio - averageRatio) * (1 - Math.exp(-passed / timeConstantMillis));
+        averagedMillis = now;
+    }
+
+    /** Returns when this router last moved the slow weight. */
+    public long weightMovedMillis() {
+        return weightMovedMillis;
+    }
+
+    /** Notes that this router looked whether to move the slow weight. */
+    public void weightMoved(long now) {
+        weightMovedMillis = now;
+    }
+
+    /** Returns the change of the slow weight, as a share of it, that is due but not yet told. */
+    public double weightDrift() {
+        return weightDrift;
+    }
+
+    /** Sets the change of the slow weight that is due but not yet told. */
+    public void weightDrift(double drift) {
+        weightDrift = drift;
+    }
+
+    /** Returns when this router last told the slow weight. */
+    public long weightToldMillis() {
+        return weightToldMillis;
+    }
+
+    /** Notes that this router tells the slow weight. */
+    public void weightTold(long now) {
+        weightToldMillis = now;
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/control/SnapshotBuilder.java
+++ b/org.cuminspur/src/org/cuminspur/control/SnapshotBuilder.java
@@ -51,6 +51,7 @@
                 row.domain(),
                 row.weight(),
                 row.allowance(),
+                row.spill(),
                 row.gauge());
     }
 }
--- a/org.cuminspur/src/org/cuminspur/control/Tables.java
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -25,6 +25,7 @@
     private final Map<Target, Order> orders = new TreeMap<>();
     private ConfigDocument document = ConfigDocument.EMPTY;
     private FleetConfig config = FleetConfig.EMPTY;
+    private final AlertOutbox alerts = new AlertOutbox();
     private boolean stopping;
 
     public Tables(Self self) {
@@ -85,6 +86,11 @@
         return upstreams.get(id);
     }
 
+    /** Returns the alerts that this router has to tell its peers. */
+    public AlertOutbox alerts() {
+        return alerts;
+    }
+
     /** Returns the orders held, in order of their targets. */
     public Stream<Order> orders() {
         return orders.values().stream();
--- a/org.cuminspur/src/org/cuminspur/control/UpstreamRow.java
+++ b/org.cuminspur/src/org/cuminspur/control/UpstreamRow.java
@@ -7,11 +7,16 @@
 
 /** What is known of an upstream; used on the control thread only, but for its gauge. */
 public final class UpstreamRow {
+    private static final int SUSPECT_FAILURES = 3;
+
     private final UpstreamId id;
     private final UpstreamGauge gauge = new UpstreamGauge();
     private ListedInstance listed;
     private double weight = 1;
     private int allowance = Integer.MAX_VALUE;
+    private double spill;
+    private final ColdState cold = new ColdState();
+    private final LoadState load = new LoadState();
 
     UpstreamRow(ListedInstance listed) {
         this.id = new UpstreamId(listed.name());
@@ -64,6 +69,31 @@
         allowance = value;
     }
 
+    /** Returns the share of the upstream's chats that go to their next choice, from 0 to 1. */
+    public double spill() {
+        return spill;
+    }
+
+    /** Sets the share of the upstream's chats that go to their next choice, from 0 to 1. */
+    public void spill(double value) {
+        spill = value;
+    }
+
+    /** Returns what is known of the upstream's start. */
+    public ColdState cold() {
+        return cold;
+    }
+
+    /** Returns what is known of the upstream's load. */
+    public LoadState load() {
+        return load;
+    }
+
+    /** Returns whether the upstream has failed so often that nothing is sent until it answers a probe. */
+    public boolean suspect() {
+        return gauge.failuresInRow() >= SUSPECT_FAILURES;
+    }
+
     void listed(ListedInstance instance) {
         this.listed = instance;
     }
--- a/org.cuminspur/src/org/cuminspur/control/message/PeerMessage.java
+++ b/org.cuminspur/src/org/cuminspur/control/message/PeerMessage.java
@@ -49,8 +49,12 @@
         }
     }
 
-    /** Upstreams whose state is out of the ordinary, as the sender has seen them. */
-    record UpstreamAlerts(List<UpstreamAlert> alerts) implements PeerMessage {
+    /**
+     * Upstreams whose state is out of the ordinary.
+     *
+     * @param hops how often the alerts were passed on: 0 to the collector, 1 to relays, 2 to the rest
+     */
+    record UpstreamAlerts(List<UpstreamAlert> alerts, int hops) implements PeerMessage {
         public UpstreamAlerts {
             alerts = List.copyOf(alerts);
         }
@@ -61,14 +65,15 @@
      *
      * @param incarnation start of the upstream's process in milliseconds since the epoch
      * @param observedMillis when it was observed, by the observer's clock
-     * @param load work in progress as a multiple of what the upstream bears
+     * @param load work in progress as a multiple of the mean, or the weight in placement for {@link Kind#WEIGHT}
      */
     record UpstreamAlert(UpstreamId upstream, Kind kind, long incarnation, long observedMillis, double load) {
         /** The kinds of alert. */
         public enum Kind {
             HOT,
             COLD,
-            LEAVING
+            LEAVING,
+            WEIGHT
         }
     }
 
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/system/AlertSystem.java
@@ -0,0 +1,117 @@
+package org.cuminspur.control.system;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.cuminspur.control.ControlSystem;
+import org.cuminspur.control.InputHandlers;
+import org.cuminspur.control.PeerRow;
+import org.cuminspur.control.Tables;
+import org.cuminspur.control.Turn;
+import org.cuminspur.control.message.PeerMessage.UpstreamAlert;
+import org.cuminspur.control.message.PeerMessage.UpstreamAlerts;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * Carries alerts to all routers through a collector that changes from one short slot of time to the next.
+ *
+ * <p>Used on the control thread only. Each router hands its alerts to the slot's collector; the collector sends them in
+ * one message to a few relays, and each relay to its part of the fleet. Every router therefore gets about one message
+ * a slot, whatever the size of the fleet. A lost message costs one slot, and later alerts make up for it.
+ */
+public final class AlertSystem implements ControlSystem {
+    private static final long SLOT_MS = 250;
+    private static final long REPEAT_COLD_MS = 1_000;
+
+    private final Tables tables;
+    private final long selfHash;
+    private final List<UpstreamAlert> collected = new ArrayList<>();
+    private long slot = Long.MIN_VALUE;
+
+    public AlertSystem(Tables tables) {
+        this.tables = tables;
+        this.selfHash = Rendezvous.hash(tables.self().id().value());
+    }
+
+    @Override
+    public void register(InputHandlers handlers) {
+        handlers.onPeer(UpstreamAlerts.class, this::heard);
+    }
+
+    @Override
+    public void tick(Turn turn) {
+        if (slot == turn.now() / SLOT_MS) {
+            return;
+        }
+        slot = turn.now() / SLOT_MS;
+        if (!collected.isEmpty()) {
+            spread(List.copyOf(collected), turn);
+            collected.clear();
+        }
+        List<UpstreamAlert> own = tables.alerts().drain();
+        if (!own.isEmpty()) {
+            hand(own, turn);
+        }
+        // A lost word of a cold upstream has no later one to make up for it.
+        own.stream()
+                .filter(alert -> alert.kind() == UpstreamAlert.Kind.COLD)
+                .filter(alert -> turn.now() - alert.observedMillis() < REPEAT_COLD_MS)
+                .forEach(tables.alerts()::add);
+    }
+
+    private void heard(InstanceId from, UpstreamAlerts message, Turn turn) {
+        if (message.hops() == 0) {
+            collected.addAll(message.alerts());
+        } else if (message.hops() == 1) {
+            relay(from, message.alerts(), turn);
+        }
+    }
+
+    private void hand(List<UpstreamAlert> alerts, Turn turn) {
+        long own = Rendezvous.mix(slot, selfHash);
+        InstanceId collector = tables.peers()
+                .map(PeerRow::id)
+                .max(Comparator.comparingLong(id -> score(id)))
+                .filter(id -> score(id) > own)
+                .orElse(null);
+        if (collector == null) {
+            collected.addAll(alerts);
+        } else {
+            turn.send(collector, new UpstreamAlerts(alerts, 0));
+        }
+    }
+
+    private long score(InstanceId id) {
+        return Rendezvous.mix(slot, Rendezvous.hash(id.value()));
+    }
+
+    /** Sends to the first router of each group, which relays to the others. */
+    private void spread(List<UpstreamAlert> alerts, Turn turn) {
+        List<InstanceId> all = receivers(tables.self().id());
+        int size = groupSize(all.size());
+        IntStream.iterate(0, i -> i < all.size(), i -> i + size)
+                .forEach(i -> turn.send(all.get(i), new UpstreamAlerts(alerts, 1)));
+    }
+
+    private void relay(InstanceId collector, List<UpstreamAlert> alerts, Turn turn) {
+        List<InstanceId> all = receivers(collector);
+        int own = all.indexOf(tables.self().id());
+        int end = Math.min(all.size(), own + groupSize(all.size()));
+        all.subList(own + 1, end).forEach(id -> turn.send(id, new UpstreamAlerts(alerts, 2)));
+    }
+
+    private List<InstanceId> receivers(InstanceId collector) {
+        return Stream.concat(
+                        tables.peers().map(PeerRow::id), Stream.of(tables.self().id()))
+                .filter(id -> !id.equals(collector))
+                .sorted()
+                .toList();
+    }
+
+    private static int groupSize(int receivers) {
+        return (int) Math.max(1, Math.ceil(Math.sqrt(receivers)));
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/system/SlowWeights.java
@@ -0,0 +1,52 @@
+package org.cuminspur.control.system;
+
+import org.cuminspur.control.LoadState;
+import org.cuminspur.control.Tables;
+import org.cuminspur.control.UpstreamRow;
+import org.cuminspur.control.message.PeerMessage.UpstreamAlert;
+
+/**
+ * Moves the slow weights of the upstreams that this router owns, and tells the other routers.
+ *
+ * <p>Used on the control thread only. The highest ranked prober of an upstream owns its weight, so one router at a time
+ * sets it; a new owner goes on from the weight that it heard.
+ */
+final class SlowWeights {
+    private static final double AVERAGE_MS = 20_000;
+    private static final double GAIN_PER_SECOND = 0.02;
+    private static final double LEAST = 0.5;
+    private static final double MOST = 1.5;
+    private static final double TELL_STEP = 0.01;
+    private static final long STEP_MS = 5_000;
+    private static final long TELL_AGAIN_MS = 60_000;
+
+    private final Tables tables;
+
+    SlowWeights(Tables tables) {
+        this.tables = tables;
+    }
+
+    void update(UpstreamRow row, double seen, int rank, long now) {
+        LoadState load = row.load();
+        load.sample(seen, now, AVERAGE_MS);
+        if (rank != 0 || now - load.weightMovedMillis() < STEP_MS) {
+            return;
+        }
+        load.weightMoved(now);
+        load.weightDrift(load.weightDrift() - GAIN_PER_SECOND * STEP_MS / 1_000 * (load.averageRatio() - 1));
+        boolean changed = Math.abs(load.weightDrift()) >= TELL_STEP;
+        boolean due = load.baseWeight() != 1 && now - load.weightToldMillis() >= TELL_AGAIN_MS;
+        if (changed || due) {
+            tell(row, now);
+        }
+    }
+
+    private void tell(UpstreamRow row, long now) {
+        LoadState load = row.load();
+        double weight = Math.min(MOST, Math.max(LEAST, load.baseWeight() * (1 + load.weightDrift())));
+        load.baseWeight(weight, now);
+        load.weightDrift(0);
+        load.weightTold(now);
+        tables.alerts().add(new UpstreamAlert(row.id(), UpstreamAlert.Kind.WEIGHT, 0, now, weight));
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/internal/hash/Rendezvous.java
+++ b/org.cuminspur/src/org/cuminspur/internal/hash/Rendezvous.java
@@ -31,8 +31,19 @@
         return ((hash >>> 11) + 0.5) * UNIT;
     }
 
+    /** Returns whether a node drawn at {@code unit} may score above {@code score}; cheap, and never wrong to say yes. */
+    public static boolean mayExceed(double unit, double weight, double score) {
+        // -ln(u) >= 1 - u, so weight / (1 - u) is an upper bound of the score.
+        return weight > score * (1 - unit);
+    }
+
+    /** Returns the score of a node that was drawn at {@code unit}. */
+    public static double scoreOf(double unit, double weight) {
+        return -weight / Math.log(unit);
+    }
+
     /** Returns the score of a node for a key; a node's share of keys is proportional to its weight. */
     public static double score(long key, long node, double weight) {
-        return -weight / Math.log(unit(mix(key, node)));
+        return scoreOf(unit(mix(key, node)), weight);
     }
 }
--- a/org.cuminspur/src/org/cuminspur/routing/Placement.java
+++ b/org.cuminspur/src/org/cuminspur/routing/Placement.java
@@ -8,9 +8,14 @@
 /**
  * Chooses the upstream for a request.
  *
- * <p>Stateless and thread-safe. The same chat goes to the same upstream on every router while the upstreams stay.
+ * <p>Stateless and thread-safe. Each chat prefers the upstreams in the order of its weighted rendezvous scores, and
+ * goes to the first that has room and does not spill it. Whether an upstream spills a chat is drawn from a hash of
+ * both, so that all routers lead the same chats to the same next choice.
  */
 public final class Placement {
+    private static final long SPILL_SALT = 0x5B1F_7A0D_93C4_E26BL;
+    private static final int MAX_RACES = 4;
+
     private Placement() {}
 
     /**
@@ -20,26 +25,55 @@
      * @param excluded upstreams that have failed this request
      */
     public static Optional<UpstreamView> place(UpstreamSet set, long chat, Set<UpstreamId> excluded) {
-        Optional<UpstreamView> best = best(set, chat, excluded);
-        return best.filter(view -> view.gauge().tryStart(view.allowance()));
+        for (int race = 0; race < MAX_RACES; race++) {
+            int best = best(set, chat, excluded);
+            if (best < 0) {
+                return Optional.empty();
+            }
+            UpstreamView view = set.view(best);
+            if (view.gauge().tryStart(view.allowance())) {
+                return Optional.of(view);
+            }
+        }
+        return Optional.empty();
     }
 
-    private static Optional<UpstreamView> best(UpstreamSet set, long chat, Set<UpstreamId> excluded) {
-        UpstreamView best = null;
+    /** Returns the position of the chosen upstream, or -1; if all spill the chat, its first choice serves it. */
+    private static int best(UpstreamSet set, long chat, Set<UpstreamId> excluded) {
+        int best = -1;
+        int spilled = -1;
         double bestScore = -1;
+        double spilledScore = -1;
         for (int i = 0; i < set.size(); i++) {
             UpstreamView view = set.view(i);
-            double score = Rendezvous.score(chat, set.hash(i), view.weight());
-            if (score > bestScore && hasRoom(set, view) && !excluded.contains(view.id())) {
-                best = view;
+            long drawn = Rendezvous.mix(chat, set.hash(i));
+            double unit = Rendezvous.unit(drawn);
+            if (!Rendezvous.mayExceed(unit, view.weight(), bestScore)) {
+                continue;
+            }
+            double score = Rendezvous.scoreOf(unit, view.weight());
+            if (score <= bestScore || !usable(set, view, excluded)) {
+                continue;
+            }
+            if (spills(view, drawn)) {
+                spilled = score > spilledScore ? i : spilled;
+                spilledScore = Math.max(score, spilledScore);
+            } else {
+                best = i;
                 bestScore = score;
             }
         }
-        return Optional.ofNullable(best);
+        return best >= 0 ? best : spilled;
     }
 
-    private static boolean hasRoom(UpstreamSet set, UpstreamView view) {
+    private static boolean usable(UpstreamSet set, UpstreamView view, Set<UpstreamId> excluded) {
         int inProgress = view.gauge().inProgress();
-        return inProgress < view.allowance() && inProgress < set.service().slots();
+        return inProgress < view.allowance()
+                && inProgress < set.service().slots()
+                && (excluded.isEmpty() || !excluded.contains(view.id()));
+    }
+
+    private static boolean spills(UpstreamView view, long drawn) {
+        return view.spill() > 0 && Rendezvous.unit(Rendezvous.mix(drawn, SPILL_SALT)) < view.spill();
     }
 }
--- a/org.cuminspur/src/org/cuminspur/routing/UpstreamView.java
+++ b/org.cuminspur/src/org/cuminspur/routing/UpstreamView.java
@@ -9,6 +9,7 @@
  * @param host IP address
  * @param weight share in placement; 1 is even
  * @param allowance the most requests that this router may have in progress there
+ * @param spill share of the upstream's chats, from 0 to 1, that go to their next choice to relieve it
  */
 public record UpstreamView(
         UpstreamId id,
@@ -17,4 +18,5 @@
         FailureDomainId domain,
         double weight,
         int allowance,
+        double spill,
         UpstreamGauge gauge) {}
