Measure reuse, skew and domain moves by replay

bin/measure replays recorded chats through the control cores and placement of many routers, with the usual policies beside ours.

--- /dev/null
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/Measure.java
@@ -0,0 +1,24 @@
+package org.cuminspur.benchmarks;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminspur.benchmarks.replay.ReplayMeasure;
+
+/** Runs all measures and prints them as a tab-separated table; an argument names a file that gets a copy. */
+public final class Measure {
+    private static final String HEADER = "measure\tscenario\tpolicy\trouters\tupstreams\tvalue\tunit";
+
+    private Measure() {}
+
+    /** Runs the measures. */
+    public static void main(String[] args) throws IOException {
+        List<String> rows = ReplayMeasure.rows(args.length > 1 ? args[1] : "");
+        System.out.println(HEADER);
+        rows.forEach(System.out::println);
+        if (args.length > 0 && !args[0].equals("-")) {
+            Files.writeString(Path.of(args[0]), HEADER + "\n" + String.join("\n", rows) + "\n");
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Replay.java
@@ -0,0 +1,272 @@
+package org.cuminspur.benchmarks.replay;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cuminspur.benchmarks.trace.ChatTemplate;
+import org.cuminspur.benchmarks.trace.Trace;
+import org.cuminspur.benchmarks.trace.Trace.Request;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.publish.Publisher;
+import org.cuminspur.routing.UpstreamSet;
+import org.cuminspur.routing.UpstreamView;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryRouter;
+
+/**
+ * Replays one trace through the control cores and the placement of many routers, under virtual time.
+ *
+ * <p>Used by one thread. Equal scenarios and policies give equal results.
+ */
+final class Replay {
+    static final List<String> DOMAINS = List.of("milano", "torino", "verona");
+    static final String SERVICE = "assistant";
+
+    private static final long SEED = 7;
+    private static final long SETTLE_MS = 4_000;
+    private static final long SAMPLE_MS = 200;
+    private static final double MEAN_SERVICE_SECONDS = 9.0;
+    private static final long WARM_UP_SHARE = 5;
+    private static final double PROMPT_TOKEN_MS = 0.04;
+    private static final int ANSWER_TOKEN_MS = 42;
+    private static final long IN_TIME_MS = 1_500;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long PROBE_MS = 2;
+    private static final long REFUSED_CONNECTION_MS = 1;
+    private static final long MATURE_MS = 60_000;
+
+    private final Scenario scenario;
+    private final MemoryFleet fleet = new MemoryFleet(SEED);
+    private final Map<String, ReplayEngine> engines = new TreeMap<>();
+    private final Map<ReplayEngine, Set<Flow>> flows = new HashMap<>();
+    private final Map<MemoryRouter, ReplayPolicy> policies = new HashMap<>();
+    private final List<MemoryRouter> routers;
+    private final Result result = new Result();
+    private final List<Request> trace;
+    private final ReplayFaults faults;
+    private long startMillis;
+    private int next;
+
+    Replay(Scenario scenario, String policy, List<ChatTemplate> templates) {
+        this.scenario = scenario;
+        double perSecond = scenario.load() * scenario.upstreams() * ReplayEngine.SLOTS / MEAN_SERVICE_SECONDS;
+        trace = ReplayFaults.shaped(scenario, Trace.requests(templates, perSecond, scenario.seconds() * 1_000L, SEED));
+        for (int i = 0; i < scenario.upstreams(); i++) {
+            add("engine-" + i, DOMAINS.get(i % DOMAINS.size()));
+            fleet.upstream("engine-" + i, SERVICE, DOMAINS.get(i % DOMAINS.size()));
+        }
+        fleet.links().lostShare(scenario.lostShare());
+        fleet.listLag(1_000);
+        fleet.prober(this::probe);
+        fleet.start(scenario.routers(), DOMAINS);
+        routers = fleet.routers().toList();
+        routers.forEach(router -> policies.put(router, Policies.named(policy, policies.size(), engines)));
+        faults = new ReplayFaults(scenario, fleet, engines, this::add, this::cut);
+    }
+
+    Result run() {
+        publish();
+        fleet.run(SETTLE_MS);
+        startMillis = fleet.time().now();
+        faults.schedule();
+        arriveNext();
+        fleet.time().every(SAMPLE_MS, this::sample);
+        fleet.run(scenario.seconds() * 1_000L);
+        return result;
+    }
+
+    /** Returns when the replay started. */
+    long startMillis() {
+        return startMillis;
+    }
+
+    private void publish() {
+        String file = String.join(
+                "\n",
+                "[service " + SERVICE + "]",
+                "kind = engine",
+                "load-bound = 1.25",
+                "slots = " + ReplayEngine.SLOTS,
+                "cold-allowance = " + ReplayEngine.COLD_BEARS,
+                "ramp = " + ReplayEngine.COLD_MS + "ms");
+        new Publisher(routers.get(0).store(), "replay", Map.of("assistant.ini", file), Set.of(), published -> {})
+                .call();
+    }
+
+    private ReplayEngine add(String name, String domain) {
+        ReplayEngine engine = new ReplayEngine(name, new FailureDomainId(domain), scenario.reportLagMillis());
+        engines.put(name, engine);
+        flows.put(engine, new LinkedHashSet<>());
+        return engine;
+    }
+
+    private void probe(MemoryRouter router, UpstreamId id) {
+        fleet.time().after(PROBE_MS, () -> {
+            ReplayEngine engine = engines.get(id.value());
+            if (!engine.down() && !lost()) {
+                report(router, engine);
+            }
+        });
+    }
+
+    private void report(MemoryRouter router, ReplayEngine engine) {
+        var row = router.core().tables().upstream(new UpstreamId(engine.name()));
+        if (row != null) {
+            long now = fleet.time().now();
+            row.gauge().report(engine.report(now), now);
+        }
+    }
+
+    private boolean lost() {
+        return fleet.random().nextDouble() < scenario.lostShare();
+    }
+
+    private void arriveNext() {
+        if (next < trace.size()) {
+            Request request = trace.get(next++);
+            fleet.time().after(startMillis + request.atMillis() - fleet.time().now(), () -> {
+                result.arrived(request.atMillis());
+                attempt(request, router(request), new HashSet<>());
+                arriveNext();
+            });
+        }
+    }
+
+    private MemoryRouter router(Request request) {
+        for (int i = 0; i < routers.size(); i++) {
+            MemoryRouter router = routers.get((int) Math.floorMod(request.draw() + i, (long) routers.size()));
+            if (router.core().snapshot().ready()) {
+                return router;
+            }
+        }
+        return routers.get(0);
+    }
+
+    private void attempt(Request request, MemoryRouter router, Set<UpstreamId> failed) {
+        UpstreamSet set = router.core().snapshot().upstreams().get(new ServiceId(SERVICE));
+        Optional<UpstreamView> placed = set == null || failed.size() >= MAX_ATTEMPTS
+                ? Optional.empty()
+                : policies.get(router).place(set, request, failed);
+        if (placed.isEmpty()) {
+            result.refused++;
+            return;
+        }
+        ReplayEngine engine = engines.get(placed.get().id().value());
+        Flow flow = new Flow(request, router, placed.get(), engine);
+        long now = fleet.time().now();
+        if (engine.down() || overloads(engine, now)) {
+            fleet.time().after(REFUSED_CONNECTION_MS, () -> {
+                placed.get().gauge().end(false);
+                failed.add(placed.get().id());
+                attempt(request, router, failed);
+            });
+            return;
+        }
+        flows.get(engine).add(flow);
+        engine.take(now, () -> begin(flow));
+    }
+
+    private boolean overloads(ReplayEngine engine, long now) {
+        double after = engine.inProgress() + 1;
+        if (after <= engine.bears(now)) {
+            return false;
+        }
+        result.coldOver++;
+        result.coldWorst = Math.max(result.coldWorst, after / engine.bears(now));
+        return true;
+    }
+
+    private void begin(Flow flow) {
+        Request request = flow.request();
+        int cached = flow.engine().cached(request.chat(), request.promptTokens());
+        flow.engine().store(request.chat(), request.promptTokens() + request.answerTokens());
+        if (request.atMillis() > scenario.seconds() * 1_000L / WARM_UP_SHARE) {
+            result.promptTokens += request.promptTokens();
+            result.cachedTokens += cached;
+        }
+        long prefill = (long) ((request.promptTokens() - cached) * PROMPT_TOKEN_MS);
+        fleet.time().after(prefill, () -> firstToken(flow));
+        fleet.time().after(prefill + (long) request.answerTokens() * ANSWER_TOKEN_MS, () -> end(flow));
+    }
+
+    private void firstToken(Flow flow) {
+        if (flows.get(flow.engine()).contains(flow) && !lost()) {
+            report(flow.router(), flow.engine());
+        }
+        long waited = fleet.time().now() - startMillis - flow.request().atMillis();
+        if (flows.get(flow.engine()).contains(flow) && waited <= IN_TIME_MS) {
+            result.servedInTime(flow.request().atMillis());
+        }
+    }
+
+    private void end(Flow flow) {
+        if (flows.get(flow.engine()).remove(flow)) {
+            flow.view().gauge().end(true);
+            flow.engine().end(fleet.time().now());
+        }
+    }
+
+    /** Breaks off all that an engine serves. */
+    private void cut(ReplayEngine engine) {
+        flows.get(engine).forEach(flow -> flow.view().gauge().end(false));
+        result.cut += flows.get(engine).size();
+        flows.get(engine).clear();
+    }
+
+    private boolean sample() {
+        long now = fleet.time().now();
+        if (now - startMillis < scenario.seconds() * 1_000L / WARM_UP_SHARE) {
+            return true;
+        }
+        int[] loads = engines.values().stream()
+                .filter(engine -> !engine.down() && now - engine.startMillis() > MATURE_MS && !faults.away(engine, now))
+                .mapToInt(ReplayEngine::inProgress)
+                .toArray();
+        int most = 0;
+        int sum = 0;
+        for (int load : loads) {
+            most = Math.max(most, load);
+            sum += load;
+        }
+        result.skew(sum == 0 ? 1 : (double) most * loads.length / sum);
+        return true;
+    }
+
+    /** One request at one engine, compared by identity. */
+    private static final class Flow {
+        private final Request request;
+        private final MemoryRouter router;
+        private final UpstreamView view;
+        private final ReplayEngine engine;
+
+        Flow(Request request, MemoryRouter router, UpstreamView view, ReplayEngine engine) {
+            this.request = request;
+            this.router = router;
+            this.view = view;
+            this.engine = engine;
+        }
+
+        Request request() {
+            return request;
+        }
+
+        MemoryRouter router() {
+            return router;
+        }
+
+        UpstreamView view() {
+            return view;
+        }
+
+        ReplayEngine engine() {
+            return engine;
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Scenario.java
@@ -0,0 +1,32 @@
+package org.cuminspur.benchmarks.replay;
+
+/**
+ * What a replay brings about; immutable.
+ *
+ * @param load demand as a share of what the slots of all engines serve
+ * @param reportLagMillis age of the load that engines report
+ * @param lostShare share of reports, and of messages between routers, that are lost
+ */
+record Scenario(
+        String name,
+        int routers,
+        int upstreams,
+        int seconds,
+        double load,
+        long reportLagMillis,
+        double lostShare,
+        Fault fault) {
+    /** What happens to the engines in the course of the replay. */
+    enum Fault {
+        NONE,
+        CHURN,
+        SUDDEN_COLD,
+        PLANNED_MOVE,
+        UNANNOUNCED_LOSS,
+        SURGE
+    }
+
+    Scenario seconds(int value) {
+        return new Scenario(name, routers, upstreams, value, load, reportLagMillis, lostShare, fault);
+    }
+}
