--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/ReplayFaults.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/ReplayFaults.java
@@ -1,7 +1,9 @@
 package org.cuminspur.benchmarks.replay;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -30,6 +32,7 @@
     private final Consumer<ReplayEngine> cutter;
     private long leftMillis = Long.MAX_VALUE;
     private long backMillis = Long.MAX_VALUE;
+    private final Set<ReplayEngine> leaving = new HashSet<>();
     private int replaced;
 
     ReplayFaults(
@@ -82,7 +85,8 @@
     /** Returns whether an engine is out of service, or has been back for too short a time to have its share. */
     boolean away(ReplayEngine engine, long now) {
         boolean moved = engine.domain().value().equals(MOVED);
-        return moved && now >= leftMillis && now < backMillis + SETTLED_MS;
+        boolean leaves = leaving.contains(engine);
+        return leaves || (moved && now >= leftMillis && now < backMillis + SETTLED_MS);
     }
 
     private static boolean surges(Request request, long from, long until) {
@@ -131,6 +135,7 @@
 
     private boolean replaceOne() {
         ReplayEngine old = engines.get("engine-" + replaced);
+        leaving.add(old);
         fleet.leave(old.name());
         fleet.time().after(CHURN_MS, () -> fleet.unlist(old.name()));
         ReplayEngine engine = adder.apply(
--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/ReplayMeasure.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/ReplayMeasure.java
@@ -21,15 +21,16 @@
 
     private ReplayMeasure() {}
 
-    /** Returns the rows of the table for scenarios whose name starts with a prefix. */
-    public static List<String> rows(String prefix) {
+    /** Returns the rows of the table for scenarios and policies whose names start with prefixes. */
+    public static List<String> rows(String scenarios, String policies) {
         List<ChatTemplate> templates = Trace.templates();
         ExecutorService threads = Executors.newFixedThreadPool(THREADS);
         try {
             List<Future<Run>> runs = new ArrayList<>();
             for (Scenario scenario : Scenarios.all()) {
                 Scenarios.policies(scenario).stream()
-                        .filter(policy -> scenario.name().startsWith(prefix))
+                        .filter(policy -> scenario.name().startsWith(scenarios))
+                        .filter(policy -> policy.startsWith(policies) || policy.equals(Policies.ALL_KNOWING))
                         .forEach(policy -> runs.add(threads.submit(() -> run(scenario, policy, templates))));
             }
             return rows(runs);
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -11,6 +11,7 @@
 import org.cuminspur.control.system.MembershipSystem;
 import org.cuminspur.control.system.OrderSystem;
 import org.cuminspur.control.system.ProbeSystem;
+import org.cuminspur.control.system.RouterRanks;
 import org.cuminspur.routing.RoutingSnapshot;
 
 /**
@@ -28,14 +29,15 @@
 
     public ControlCore(Self self, RandomGenerator random) {
         tables = new Tables(self);
+        RouterRanks ranks = new RouterRanks(tables);
         systems = List.of(
                 new MembershipSystem(tables),
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
                 new GossipSystem(tables, random),
-                new ProbeSystem(tables),
-                new ColdStartSystem(tables),
-                new LoadSystem(tables),
+                new ProbeSystem(tables, ranks),
+                new ColdStartSystem(tables, ranks),
+                new LoadSystem(tables, ranks),
                 new AlertSystem(tables));
         systems.forEach(system -> system.register(handlers));
         handlers.on(ControlInput.StopRequested.class, (input, turn) -> tables.stop());
--- a/org.cuminspur/src/org/cuminspur/control/Tables.java
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -26,6 +26,7 @@
     private ConfigDocument document = ConfigDocument.EMPTY;
     private FleetConfig config = FleetConfig.EMPTY;
     private final AlertOutbox alerts = new AlertOutbox();
+    private long listings;
     private boolean stopping;
 
     public Tables(Self self) {
@@ -118,10 +119,18 @@
 
     /** Returns whether operators took an upstream, or the failure domain it stands in, out of service. */
     public boolean out(UpstreamRow row) {
+        if (orders.isEmpty()) {
+            return false;
+        }
         return out(row.domain())
                 || out(new Target(Target.Kind.UPSTREAM, row.id().value()));
     }
 
+    /** Returns how often the platform's list was read. */
+    public long listings() {
+        return listings;
+    }
+
     private boolean out(Target target) {
         Order order = orders.get(target);
         return order != null && order.out();
@@ -129,6 +138,7 @@
 
     /** Replaces what the platform's list says; entities that it lacks are dropped. */
     public void list(Stream<ListedInstance> instances) {
+        listings++;
         Map<Boolean, Map<String, ListedInstance>> byRole = instances.collect(Collectors.partitioningBy(
                 instance -> instance.service().equals(ListedInstance.ROUTERS),
                 Collectors.toMap(ListedInstance::name, Function.identity(), (a, b) -> b, TreeMap::new)));
--- a/org.cuminspur/src/org/cuminspur/control/system/ColdStartSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/ColdStartSystem.java
@@ -27,9 +27,9 @@
     private final RouterRanks ranks;
     private boolean listedBefore;
 
-    public ColdStartSystem(Tables tables) {
+    public ColdStartSystem(Tables tables, RouterRanks ranks) {
         this.tables = tables;
-        this.ranks = new RouterRanks(tables);
+        this.ranks = ranks;
     }
 
     @Override
--- a/org.cuminspur/src/org/cuminspur/control/system/LoadSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/LoadSystem.java
@@ -22,7 +22,7 @@
  * that probe an upstream tell the others while it is hot, and set its slow weight.
  */
 public final class LoadSystem implements ControlSystem {
-    private static final double FORECAST_MS = 10_000;
+    private static final double FORECAST_MS = Double.parseDouble(System.getProperty("fc", "10000"));
     private static final long MEAN_WINDOW_MS = 10_000;
     private static final double TELL_ABOVE = 1.05;
     private static final double TELL_STEP = 0.04;
@@ -32,9 +32,9 @@
     private final RouterRanks ranks;
     private final SlowWeights weights;
 
-    public LoadSystem(Tables tables) {
+    public LoadSystem(Tables tables, RouterRanks ranks) {
         this.tables = tables;
-        this.ranks = new RouterRanks(tables);
+        this.ranks = ranks;
         this.weights = new SlowWeights(tables);
     }
 
@@ -79,7 +79,7 @@
         }
         boolean reported = fresh(row, turn.now());
         double seen = reported ? estimate(row) / mean.value() : 1;
-        row.spill(Spill.share(forecast(row, reported, seen, turn.now()), service.loadBound(), mean.value()));
+        row.spill(Spill.share(forecast(row, reported, seen, turn.now()), mean.value(), service));
         if (reported && row.allowance() == Integer.MAX_VALUE && ranks.rank(row.id()) < ProbeSystem.PROBERS) {
             tell(row, seen, turn);
             weights.update(row, seen, ranks.rank(row.id()), turn.now());
--- a/org.cuminspur/src/org/cuminspur/control/system/ProbeSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/ProbeSystem.java
@@ -22,9 +22,9 @@
     private final RouterRanks ranks;
     private long nextMillis = Long.MIN_VALUE;
 
-    public ProbeSystem(Tables tables) {
+    public ProbeSystem(Tables tables, RouterRanks ranks) {
         this.tables = tables;
-        this.ranks = new RouterRanks(tables);
+        this.ranks = ranks;
     }
 
     @Override
--- a/org.cuminspur/src/org/cuminspur/control/system/SlowWeights.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/SlowWeights.java
@@ -12,8 +12,8 @@
  * sets it; a new owner goes on from the weight that it heard.
  */
 final class SlowWeights {
-    private static final double AVERAGE_MS = 20_000;
-    private static final double GAIN_PER_SECOND = 0.02;
+    private static final double AVERAGE_MS = Double.parseDouble(System.getProperty("avg", "20000"));
+    private static final double GAIN_PER_SECOND = Double.parseDouble(System.getProperty("gain", "0.02"));
     private static final double LEAST = 0.5;
     private static final double MOST = 1.5;
     private static final double TELL_STEP = 0.01;
--- a/org.cuminspur/src/org/cuminspur/control/system/Spill.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/Spill.java
@@ -1,13 +1,18 @@
 package org.cuminspur.control.system;
 
+import org.cuminspur.config.ServiceSpec;
+
 /**
  * Works out the share of its chats that a loaded upstream leaves to their next choice; stateless.
  *
- * <p>The share rises evenly from a little over the mean to 1 at the bound. A step would make all routers jump together.
+ * <p>The share rises evenly from a little over the mean to 1 at the bound, or where the slots
+ * are full if that comes first. A step would make all routers jump together.
  */
 final class Spill {
-    private static final double FROM = 1.08;
-    private static final double FULL_SHARE_OF_BOUND = 0.97;
+    private static final double FROM_SHARE_OF_EXCESS = Double.parseDouble(System.getProperty("f", "0.5"));
+    private static final double FULL_SHARE_OF_BOUND = Double.parseDouble(System.getProperty("b", "0.97"));
+    private static final double FULL_SHARE_OF_SLOTS = 0.98;
+    private static final double LEAST_EXCESS = 0.03;
     private static final double LEAST_MEAN = 4;
 
     private Spill() {}
@@ -16,14 +21,15 @@
      * Returns the share, from 0 to 1.
      *
      * @param load work in progress as a multiple of the mean
-     * @param bound the most load that is allowed, as a multiple of the mean
      * @param mean requests in progress at an upstream; if few, single requests say nothing
      */
-    static double share(double load, double bound, double mean) {
+    static double share(double load, double mean, ServiceSpec service) {
         if (mean < LEAST_MEAN) {
             return 0;
         }
-        double full = Math.max(FROM + 0.02, bound * FULL_SHARE_OF_BOUND);
-        return Math.max(0, Math.min(1, (load - FROM) / (full - FROM)));
+        double most = Math.min(service.loadBound() * FULL_SHARE_OF_BOUND, FULL_SHARE_OF_SLOTS * service.slots() / mean);
+        double excess = Math.max(LEAST_EXCESS, most - 1);
+        double from = 1 + excess * FROM_SHARE_OF_EXCESS;
+        return Math.max(0, Math.min(1, (load - from) / (1 + excess - from)));
     }
 }
