Count what was spilled since a report in the forecast

Change: the forecast draws the reported load toward 1 minus the share spilled of late, with the time the report took counted. Tried and left: spilling from 0.6, 0.7 and 0.4 of the excess, weights twice as fast.

--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Replay.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Replay.java
@@ -34,6 +34,7 @@
     private static final long SAMPLE_MS = 200;
     private static final double MEAN_SERVICE_SECONDS = 9.0;
     private static final long WARM_UP_SHARE = 5;
+    private static final long LEAST_WARM_UP_MS = 30_000;
     private static final double PROMPT_TOKEN_MS = 0.04;
     private static final int ANSWER_TOKEN_MS = 42;
     private static final long IN_TIME_MS = 1_500;
@@ -87,6 +88,10 @@
         return startMillis;
     }
 
+    private long warmUpMillis() {
+        return Math.max(LEAST_WARM_UP_MS, scenario.seconds() * 1_000L / WARM_UP_SHARE);
+    }
+
     private void publish() {
         String file = String.join(
                 "\n",
@@ -187,7 +192,7 @@
         Request request = flow.request();
         int cached = flow.engine().cached(request.chat(), request.promptTokens());
         flow.engine().store(request.chat(), request.promptTokens() + request.answerTokens());
-        if (request.atMillis() > scenario.seconds() * 1_000L / WARM_UP_SHARE) {
+        if (request.atMillis() > warmUpMillis()) {
             result.promptTokens += request.promptTokens();
             result.cachedTokens += cached;
         }
@@ -222,7 +227,7 @@
 
     private boolean sample() {
         long now = fleet.time().now();
-        if (now - startMillis < scenario.seconds() * 1_000L / WARM_UP_SHARE) {
+        if (now - startMillis < warmUpMillis()) {
             return true;
         }
         int[] loads = engines.values().stream()
--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Scenarios.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Scenarios.java
@@ -19,11 +19,12 @@
                 new Scenario("surge", 6, 14, 400, 0.6, 500, 0, Fault.SURGE),
                 new Scenario("planned-move", 6, 14, 400, 0.6, 500, 0, Fault.PLANNED_MOVE),
                 new Scenario("unannounced-loss", 6, 14, 400, 0.6, 500, 0, Fault.UNANNOUNCED_LOSS),
-                new Scenario("large-lag-0.5s", 360, LARGE, 40, 0.75, 500, 0, Fault.NONE),
-                new Scenario("large-lag-2s", 360, LARGE, 40, 0.75, 2_000, 0, Fault.NONE));
+                new Scenario("middle-lag-0.5s", 60, 100, 90, 0.75, 500, 0, Fault.NONE),
+                new Scenario("middle-lag-2s", 60, 100, 90, 0.75, 2_000, 0, Fault.NONE),
+                new Scenario("large-lag-2s", 360, LARGE, 45, 0.75, 2_000, 0, Fault.NONE));
     }
 
     static List<String> policies(Scenario scenario) {
-        return scenario.upstreams() < LARGE ? Policies.names() : List.of("rendezvous", Policies.PLACEMENT);
+        return scenario.upstreams() < 100 ? Policies.names() : List.of("rendezvous", Policies.PLACEMENT);
     }
 }
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/placement/ColdFleet.java
@@ -0,0 +1,145 @@
+package org.cuminspur.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cuminspur.control.ListedInstance;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.publish.Publisher;
+import org.cuminspur.routing.LoadReport;
+import org.cuminspur.routing.Placement;
+import org.cuminspur.routing.UpstreamSet;
+import org.cuminspur.routing.UpstreamView;
+import org.cuminspur.testing.MemoryFleet;
+import org.cuminspur.testing.MemoryRouter;
+
+/** A fleet whose routers are offered far more than cold upstreams bear, and the checker of what they take. */
+final class ColdFleet {
+    static final int BEARS = 8;
+    static final int SLOTS = 64;
+    static final long RAMP_MS = 20_000;
+
+    private static final long STEP_MS = 20;
+    private static final long SERVICE_MS = 400;
+    private static final List<String> DOMAINS = List.of("milano", "torino", "verona");
+
+    /** Chooses an upstream for a request. */
+    @FunctionalInterface
+    interface Placer {
+        Optional<UpstreamView> place(UpstreamSet set, long chat);
+    }
+
+    private final MemoryFleet fleet;
+    private final Map<String, Long> startMillis = new TreeMap<>();
+    private final Map<String, Integer> inProgress = new TreeMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final Placer placer;
+    private int served;
+
+    ColdFleet(long seed, int routers, int upstreams, Placer placer) {
+        this.placer = placer;
+        fleet = new MemoryFleet(seed);
+        fleet.listLag(2_000);
+        fleet.links().lostShare(0.2).repeatedShare(0.1).delay(1, 300);
+        fleet.prober((router, upstream) -> report(router, upstream.value()));
+        for (int i = 0; i < upstreams; i++) {
+            fleet.upstream("engine-" + i, "assistant", DOMAINS.get(i % 3));
+            startMillis.put("engine-" + i, 1L);
+            inProgress.put("engine-" + i, 0);
+        }
+        fleet.start(routers, DOMAINS);
+        String file = "[service assistant]\nkind = engine\nslots = " + SLOTS + "\ncold-allowance = " + BEARS
+                + "\nramp = " + RAMP_MS + "ms\n";
+        fleet.run(100);
+        new Publisher(fleet.router("router-0").store(), "cold", Map.of("a.ini", file), Set.of(), result -> {}).call();
+        fleet.run(5_000);
+    }
+
+    static Optional<UpstreamView> placement(UpstreamSet set, long chat) {
+        return Placement.place(set, chat, Set.of());
+    }
+
+    MemoryFleet fleet() {
+        return fleet;
+    }
+
+    List<String> violations() {
+        return violations;
+    }
+
+    int served() {
+        return served;
+    }
+
+    int inProgress(String engine) {
+        return inProgress.get(engine);
+    }
+
+    /** Starts an upstream anew; the list says so, or the routers find out by its reports. */
+    void restart(String engine, boolean listed) {
+        long now = fleet.time().now();
+        startMillis.put(engine, now);
+        if (listed) {
+            fleet.list(new ListedInstance(
+                    engine,
+                    "assistant",
+                    "127.0.0.1",
+                    Map.of("http", 1),
+                    new FailureDomainId("milano"),
+                    Long.toString(now),
+                    false));
+        }
+    }
+
+    /** Offers requests to every live router in turn for a time. */
+    void offer(long millis, int perStep) {
+        long until = fleet.time().now() + millis;
+        while (fleet.time().now() < until) {
+            List<MemoryRouter> routers = fleet.routers().toList();
+            for (int i = 0; i < perStep; i++) {
+                request(routers.get(fleet.random().nextInt(routers.size())));
+            }
+            fleet.run(STEP_MS);
+        }
+    }
+
+    private void request(MemoryRouter router) {
+        UpstreamSet set = router.core().snapshot().upstreams().get(new ServiceId("assistant"));
+        Optional<UpstreamView> placed = set == null
+                ? Optional.empty()
+                : placer.place(set, fleet.random().nextLong());
+        placed.ifPresent(view -> serve(router, view));
+    }
+
+    private void serve(MemoryRouter router, UpstreamView view) {
+        String engine = view.id().value();
+        int now = inProgress.merge(engine, 1, Integer::sum);
+        served++;
+        if (now > bears(engine)) {
+            violations.add(engine + " carries " + now + " and bears " + bears(engine));
+        }
+        report(router, engine);
+        fleet.time().after(SERVICE_MS, () -> {
+            inProgress.merge(engine, -1, Integer::sum);
+            view.gauge().end(true);
+        });
+    }
+
+    private double bears(String engine) {
+        double age = (double) (fleet.time().now() - startMillis.get(engine)) / RAMP_MS;
+        return age >= 1 ? Double.MAX_VALUE : BEARS + (SLOTS - BEARS) * age;
+    }
+
+    private void report(MemoryRouter router, String engine) {
+        var row = router.core().tables().upstream(new UpstreamId(engine));
+        if (row != null) {
+            LoadReport report = new LoadReport(inProgress.get(engine), SLOTS, startMillis.get(engine));
+            row.gauge().report(report, fleet.time().now());
+        }
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/control/LoadState.java
+++ b/org.cuminspur/src/org/cuminspur/control/LoadState.java
@@ -15,6 +15,8 @@
     private long weightVersion = Long.MIN_VALUE;
     private double averageRatio = 1;
     private long averagedMillis;
+    private double spillAverage;
+    private long spilledMillis;
     private long weightMovedMillis;
     private double weightDrift;
     private long weightToldMillis;
@@ -74,6 +76,17 @@
         return averageRatio;
     }
 
+    /** Returns the average of the spilled share over the last seconds. */
+    public double spillAverage() {
+        return spillAverage;
+    }
+
+    /** Adds the spilled share of a tick to its average. */
+    public void spilled(double share, long now, double timeConstantMillis) {
+        spillAverage += (share - spillAverage) * (1 - Math.exp(-(now - spilledMillis) / timeConstantMillis));
+        spilledMillis = now;
+    }
+
     /** Adds a sample to the long average. */
     public void sample(double ratio, long now, double timeConstantMillis) {
         double passed = averagedMillis == 0 ? 0 : now - averagedMillis;
--- a/org.cuminspur/src/org/cuminspur/control/system/LoadSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/LoadSystem.java
@@ -22,7 +22,9 @@
  * that probe an upstream tell the others while it is hot, and set its slow weight.
  */
 public final class LoadSystem implements ControlSystem {
-    private static final double FORECAST_MS = Double.parseDouble(System.getProperty("fc", "10000"));
+    private static final double FORECAST_MS = 10_000;
+    private static final double REPORT_LAG_MS = 1500;
+    private static final double SPILL_AVERAGE_MS = 2500;
     private static final long MEAN_WINDOW_MS = 10_000;
     private static final double TELL_ABOVE = 1.05;
     private static final double TELL_STEP = 0.04;
@@ -80,9 +82,10 @@
         boolean reported = fresh(row, turn.now());
         double seen = reported ? estimate(row) / mean.value() : 1;
         row.spill(Spill.share(forecast(row, reported, seen, turn.now()), mean.value(), service));
+        row.load().spilled(row.spill(), turn.now(), SPILL_AVERAGE_MS);
         if (reported && row.allowance() == Integer.MAX_VALUE && ranks.rank(row.id()) < ProbeSystem.PROBERS) {
             tell(row, seen, turn);
-            weights.update(row, seen, ranks.rank(row.id()), turn.now());
+            weights.update(row, seen, mean.value(), ranks.rank(row.id()), turn.now());
         }
     }
 
@@ -93,7 +96,12 @@
         boolean peerNewer = load.peerReceivedMillis() > ownMillis;
         double ratio = peerNewer ? load.peerRatio() : seen;
         long atMillis = peerNewer ? load.peerReceivedMillis() : ownMillis;
-        return atMillis == Long.MIN_VALUE ? 1 : 1 + (ratio - 1) * Math.exp(-(now - atMillis) / FORECAST_MS);
+        if (atMillis == Long.MIN_VALUE) {
+            return 1;
+        }
+        // What was spilled since the report has relieved the upstream already; to count it twice would swing the load.
+        double level = 1 - load.spillAverage();
+        return level + (ratio - level) * Math.exp(-(now - atMillis + REPORT_LAG_MS) / FORECAST_MS);
     }
 
     private void tell(UpstreamRow row, double seen, Turn turn) {
--- a/org.cuminspur/src/org/cuminspur/control/system/SlowWeights.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/SlowWeights.java
@@ -12,10 +12,11 @@
  * sets it; a new owner goes on from the weight that it heard.
  */
 final class SlowWeights {
-    private static final double AVERAGE_MS = Double.parseDouble(System.getProperty("avg", "20000"));
-    private static final double GAIN_PER_SECOND = Double.parseDouble(System.getProperty("gain", "0.02"));
+    private static final double AVERAGE_MS = 20_000;
+    private static final double GAIN_PER_SECOND = 0.02;
     private static final double LEAST = 0.5;
     private static final double MOST = 1.5;
+    private static final double LEAST_MEAN = 16;
     private static final double TELL_STEP = 0.01;
     private static final long STEP_MS = 5_000;
     private static final long TELL_AGAIN_MS = 60_000;
@@ -26,9 +27,13 @@
         this.tables = tables;
     }
 
-    void update(UpstreamRow row, double seen, int rank, long now) {
+    /** Takes a sample of the load; an idle service's ratios are noise, so {@code mean} must be large enough. */
+    void update(UpstreamRow row, double seen, double mean, int rank, long now) {
+        if (mean < LEAST_MEAN) {
+            return;
+        }
         LoadState load = row.load();
-        load.sample(seen, now, AVERAGE_MS);
+        load.sample(Math.min(MOST, Math.max(LEAST, seen)), now, AVERAGE_MS);
         if (rank != 0 || now - load.weightMovedMillis() < STEP_MS) {
             return;
         }
--- a/org.cuminspur/src/org/cuminspur/control/system/Spill.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/Spill.java
@@ -9,8 +9,8 @@
  * are full if that comes first. A step would make all routers jump together.
  */
 final class Spill {
-    private static final double FROM_SHARE_OF_EXCESS = Double.parseDouble(System.getProperty("f", "0.5"));
-    private static final double FULL_SHARE_OF_BOUND = Double.parseDouble(System.getProperty("b", "0.97"));
+    private static final double FROM_SHARE_OF_EXCESS = 0.5;
+    private static final double FULL_SHARE_OF_BOUND = 0.97;
     private static final double FULL_SHARE_OF_SLOTS = 0.98;
     private static final double LEAST_EXCESS = 0.03;
     private static final double LEAST_MEAN = 4;
