--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Scenario.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Scenario.java
@@ -16,6 +16,8 @@
         long reportLagMillis,
         double lostShare,
         Fault fault) {
+    private static final int SLOW_UPSTREAMS = 100;
+
     /** What happens to the engines in the course of the replay. */
     enum Fault {
         NONE,
@@ -26,7 +28,8 @@
         SURGE
     }
 
-    Scenario seconds(int value) {
-        return new Scenario(name, routers, upstreams, value, load, reportLagMillis, lostShare, fault);
+    /** Returns whether the replay takes minutes. */
+    boolean slow() {
+        return upstreams > SLOW_UPSTREAMS;
     }
 }
--- a/org.cuminspur/src/org/cuminspur/control/system/RouterRanks.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/RouterRanks.java
@@ -1,8 +1,10 @@
 package org.cuminspur.control.system;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.cuminspur.control.PeerRow;
 import org.cuminspur.control.Tables;
 import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.UpstreamId;
@@ -18,8 +20,10 @@
     /** Time for which a router that is no longer listed keeps its rank. */
     static final long MEMORY_MS = 10_000;
 
+    private static final long LISTED = Long.MAX_VALUE;
+
     private final Tables tables;
-    private final Map<InstanceId, Long> lastListed = new TreeMap<>();
+    private final Map<InstanceId, Long> vanished = new TreeMap<>();
     private final Map<UpstreamId, Integer> ranks = new HashMap<>();
     private long[] hashes = {};
     private long seenListings = -1;
@@ -30,19 +34,24 @@
         this.selfHash = Rendezvous.hash(tables.self().id().value());
     }
 
-    /** Brings the ranks in step with the table of routers, if the list was read since the last time. */
+    /** Brings the ranks in step with the table of routers. */
     void refresh(long now) {
-        if (seenListings == tables.listings()) {
-            return;
+        int before = vanished.size();
+        boolean joined = false;
+        if (seenListings != tables.listings()) {
+            seenListings = tables.listings();
+            vanished.replaceAll((id, since) -> tables.peer(id) == null ? Math.min(since, now) : LISTED);
+            List<InstanceId> fresh = tables.peers()
+                    .map(PeerRow::id)
+                    .filter(id -> !vanished.containsKey(id))
+                    .toList();
+            fresh.forEach(id -> vanished.put(id, LISTED));
+            joined = !fresh.isEmpty();
         }
-        seenListings = tables.listings();
-        int before = lastListed.size();
-        boolean[] added = {false};
-        tables.peers().forEach(peer -> added[0] |= lastListed.put(peer.id(), now) == null);
-        lastListed.values().removeIf(listed -> listed < now - MEMORY_MS);
-        if (added[0] || lastListed.size() != before) {
+        vanished.values().removeIf(since -> since < now - MEMORY_MS);
+        if (joined || vanished.size() != before) {
             ranks.clear();
-            hashes = lastListed.keySet().stream()
+            hashes = vanished.keySet().stream()
                     .mapToLong(id -> Rendezvous.hash(id.value()))
                     .toArray();
         }
