--- a/org.cuminspur.router.test/tst/org/cuminspur/fuzz/InputFuzzTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/fuzz/InputFuzzTest.java
@@ -50,8 +50,10 @@
             {new PeerMessage.ConfigDelta(new Revision(1), new Revision(2), "p", Map.of("a", file), List.of("b"), -7)},
             {new PeerMessage.Orders(List.of(order), true)},
             {
-                new PeerMessage.UpstreamAlerts(List.of(new PeerMessage.UpstreamAlert(
-                        new UpstreamId("engine-1"), PeerMessage.UpstreamAlert.Kind.COLD, 5, 6, 1.5)))
+                new PeerMessage.UpstreamAlerts(
+                        List.of(new PeerMessage.UpstreamAlert(
+                                new UpstreamId("engine-1"), PeerMessage.UpstreamAlert.Kind.COLD, 5, 6, 1.5)),
+                        2)
             },
             {new PeerMessage.AccountUsage(List.of(new PeerMessage.Usage(new AccountId("buyers"), 2.5, 4)))},
             {new PeerMessage.AccountShares(List.of(new PeerMessage.Share(new AccountId("buyers"), 2.5, 4, 900)))},
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerFleet.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerFleet.java
@@ -59,6 +59,7 @@
                                 "[domain noord-a]",
                                 "region = nl-noord",
                                 "[account buyer-desk]",
+                                "rate = 1000000",
                                 "key-sha256 = " + RouteTable.sha256(KEY)))
                 .toString();
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/RouterDaemon.java
@@ -47,6 +47,7 @@
                 clock,
                 store,
                 listener -> new InstanceWatcher(http, platform.instances(), platform.timeoutMillis(), listener),
+                http,
                 metrics);
         peers = new PeerLinks(
                 settings.self().id(),
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/control/ControlLoop.java
@@ -21,6 +21,7 @@
 import org.cuminspur.control.ListedInstance;
 import org.cuminspur.control.Self;
 import org.cuminspur.control.Tables;
+import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.platform.InstanceWatcher;
 import org.cuminspur.peer.PeerLinks;
 import org.cuminspur.routing.RoutingSnapshot;
@@ -41,6 +42,7 @@
     private final Clock clock;
     private final InstanceWatcher instances;
     private final ControlCore core;
+    private final UpstreamProber prober;
     private final OutputRunner outputs;
     private final Timer ticks;
     private final ScheduledExecutorService thread = executor("control");
@@ -55,12 +57,14 @@
             Clock clock,
             Store store,
             Function<Consumer<List<ListedInstance>>, InstanceWatcher> instances,
+            HttpClient http,
             MetricRegistry metrics) {
         this.clock = clock;
         this.instances = instances.apply(listed -> post(new ControlInput.InstancesListed(listed)));
         RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(new SecureRandom().nextLong());
         core = new ControlCore(self, random);
-        outputs = new OutputRunner(store, core, this::post);
+        prober = new UpstreamProber(http, clock);
+        outputs = new OutputRunner(store, core, prober, this::post);
         ticks = metrics.timer("control.tick");
     }
 
@@ -107,6 +111,7 @@
     public void close() {
         instances.close();
         thread.shutdownNow();
+        prober.close();
     }
 
     private void tick() {
--- a/org.cuminspur/src/org/cuminspur/control/ControlCore.java
+++ b/org.cuminspur/src/org/cuminspur/control/ControlCore.java
@@ -6,11 +6,16 @@
 import java.util.random.RandomGenerator;
 import org.cuminspur.admission.AccountGauges;
 import org.cuminspur.control.system.AccountShareSystem;
+import org.cuminspur.control.system.AlertSystem;
+import org.cuminspur.control.system.ColdStartSystem;
 import org.cuminspur.control.system.ConfigSystem;
 import org.cuminspur.control.system.GossipSystem;
 import org.cuminspur.control.system.LeavingSystem;
+import org.cuminspur.control.system.LoadSystem;
 import org.cuminspur.control.system.MembershipSystem;
 import org.cuminspur.control.system.OrderSystem;
+import org.cuminspur.control.system.ProbeSystem;
+import org.cuminspur.control.system.RouterRanks;
 import org.cuminspur.control.system.StoreWatchSystem;
 import org.cuminspur.routing.RoutingSnapshot;
 
@@ -41,6 +46,7 @@
 
     /** Returns the systems that a router runs. */
     public static List<ControlSystem> systems(Tables tables, RandomGenerator random) {
+        RouterRanks ranks = new RouterRanks(tables);
         return List.of(
                 new MembershipSystem(tables),
                 new LeavingSystem(tables, random),
@@ -48,7 +54,11 @@
                 new ConfigSystem(tables),
                 new OrderSystem(tables),
                 new GossipSystem(tables, random),
-                new AccountShareSystem(tables, random));
+                new AccountShareSystem(tables, random),
+                new ProbeSystem(tables, ranks),
+                new ColdStartSystem(tables, ranks),
+                new LoadSystem(tables, ranks),
+                new AlertSystem(tables));
     }
 
     /** Acts on one input. */
--- a/org.cuminspur/src/org/cuminspur/control/Tables.java
+++ b/org.cuminspur/src/org/cuminspur/control/Tables.java
@@ -28,6 +28,8 @@
     private FleetConfig config = FleetConfig.EMPTY;
     private long storeSeenMillis = Long.MIN_VALUE / 2;
     private final AccountGauges accounts = new AccountGauges();
+    private final AlertOutbox alerts = new AlertOutbox();
+    private long listings;
     private boolean stopping;
 
     public Tables(Self self) {
@@ -108,6 +110,11 @@
         return upstreams.get(id);
     }
 
+    /** Returns the alerts that this router has to tell its peers. */
+    public AlertOutbox alerts() {
+        return alerts;
+    }
+
     /** Returns the orders held, in order of their targets. */
     public Stream<Order> orders() {
         return orders.values().stream();
@@ -140,10 +147,18 @@
 
     /** Returns whether operators took an upstream, or the failure domain it stands in, out of service. */
     public boolean out(UpstreamRow row) {
+        if (orders.isEmpty()) {
+            return false;
+        }
         return out(row.domain())
                 || out(new Target(Target.Kind.UPSTREAM, row.id().value()));
     }
 
+    /** Returns how often the platform's list was read. */
+    public long listings() {
+        return listings;
+    }
+
     private boolean out(Target target) {
         Order order = orders.get(target);
         return order != null && order.out();
@@ -151,6 +166,7 @@
 
     /** Replaces what the platform's list says; entities that it lacks are dropped. */
     public void list(Stream<ListedInstance> instances) {
+        listings++;
         Map<Boolean, Map<String, ListedInstance>> byRole = instances.collect(Collectors.partitioningBy(
                 instance -> instance.service().equals(ListedInstance.ROUTERS),
                 Collectors.toMap(ListedInstance::name, Function.identity(), (a, b) -> b, TreeMap::new)));
--- a/org.cuminspur/src/org/cuminspur/control/system/LeavingSystem.java
+++ b/org.cuminspur/src/org/cuminspur/control/system/LeavingSystem.java
@@ -90,7 +90,7 @@
                 .toList();
         notices.values().forEach(notice -> notice.rounds = Math.max(0, notice.rounds - 1));
         if (!alerts.isEmpty()) {
-            draw.pair(turn.now()).forEach(peer -> turn.send(peer, new UpstreamAlerts(alerts)));
+            draw.pair(turn.now()).forEach(peer -> turn.send(peer, new UpstreamAlerts(alerts, UpstreamAlerts.LAST_HOP)));
         }
     }
 
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/control/system/RouterRanks.java
@@ -0,0 +1,81 @@
+package org.cuminspur.control.system;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cuminspur.control.PeerRow;
+import org.cuminspur.control.Tables;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * Ranks this router among all that were listed lately, for each upstream by a rendezvous hash.
+ *
+ * <p>Used on the control thread only. A router that drops out of the list keeps its rank for a while, so that a list
+ * that flaps does not raise others in its place.
+ */
+public final class RouterRanks {
+    /** Time for which a router that is no longer listed keeps its rank. */
+    static final long MEMORY_MS = 10_000;
+
+    private static final long LISTED = Long.MAX_VALUE;
+
+    private final Tables tables;
+    private final Map<InstanceId, Long> vanished = new TreeMap<>();
+    private final Map<UpstreamId, Integer> ranks = new HashMap<>();
+    private long[] hashes = {};
+    private long seenListings = -1;
+    private final long selfHash;
+
+    public RouterRanks(Tables tables) {
+        this.tables = tables;
+        this.selfHash = Rendezvous.hash(tables.self().id().value());
+    }
+
+    /** Brings the ranks in step with the table of routers. */
+    void refresh(long now) {
+        int before = vanished.size();
+        boolean joined = false;
+        if (seenListings != tables.listings()) {
+            seenListings = tables.listings();
+            vanished.replaceAll((id, since) -> tables.peer(id) == null ? Math.min(since, now) : LISTED);
+            List<InstanceId> fresh = tables.peers()
+                    .map(PeerRow::id)
+                    .filter(id -> !vanished.containsKey(id))
+                    .toList();
+            fresh.forEach(id -> vanished.put(id, LISTED));
+            joined = !fresh.isEmpty();
+        }
+        vanished.values().removeIf(since -> since < now - MEMORY_MS);
+        if (joined || vanished.size() != before) {
+            ranks.clear();
+            hashes = vanished.keySet().stream()
+                    .mapToLong(id -> Rendezvous.hash(id.value()))
+                    .toArray();
+        }
+    }
+
+    /** Returns how many routers are ranked, this one included. */
+    int size() {
+        return hashes.length + 1;
+    }
+
+    /** Returns this router's rank for an upstream, from 0. */
+    int rank(UpstreamId upstream) {
+        return ranks.computeIfAbsent(upstream, this::count);
+    }
+
+    private int count(UpstreamId upstream) {
+        long key = Rendezvous.hash(upstream.value());
+        long own = Rendezvous.mix(key, selfHash);
+        int above = 0;
+        for (long hash : hashes) {
+            if (Long.compareUnsigned(Rendezvous.mix(key, hash), own) > 0) {
+                above++;
+            }
+        }
+        return above;
+    }
+}
