--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Replay.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/replay/Replay.java
@@ -14,6 +14,7 @@
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.ServiceId;
 import org.cuminspur.id.UpstreamId;
+import org.cuminspur.publish.Backoff;
 import org.cuminspur.publish.Publisher;
 import org.cuminspur.routing.UpstreamSet;
 import org.cuminspur.routing.UpstreamView;
@@ -101,7 +102,14 @@
                 "slots = " + ReplayEngine.SLOTS,
                 "cold-allowance = " + ReplayEngine.COLD_BEARS,
                 "ramp = " + ReplayEngine.COLD_MS + "ms");
-        new Publisher(routers.get(0).store(), "replay", Map.of("assistant.ini", file), Set.of(), published -> {})
+        Backoff backoff = new Backoff(fleet.time().clock(), fleet.time()::after, fleet.random(), SETTLE_MS);
+        new Publisher(
+                        routers.get(0).store(),
+                        "replay",
+                        Map.of("assistant.ini", file),
+                        Set.of(),
+                        backoff,
+                        published -> {})
                 .call();
     }
 
--- a/org.cuminspur.test/tst/org/cuminspur/control/ConfigFleetTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/control/ConfigFleetTest.java
@@ -125,7 +125,7 @@
         }
     }
 
-    @DataProvider
+    @DataProvider(parallel = true)
     public Object[][] faultsOfManyRouters() {
         Stream<Object[]> single = Stream.of(Fault.values()).map(fault -> new Object[] {Fault.NONE, fault});
         Stream<Object[]> pairs = Stream.of(
