--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestPipeline.java
@@ -92,7 +92,7 @@
         AnswerTimes times = new AnswerTimes(clock);
         answer.times(times);
         try {
-            admitted(snapshot, routed, answer);
+            admitted(routed, answer);
         } finally {
             Option.of(snapshot.upstreams().get(routed.route().service()))
                     .flatMap(set -> times.outcome(routed, set.service().objective()))
@@ -100,7 +100,7 @@
         }
     }
 
-    private void admitted(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+    private void admitted(RoutedRequest routed, CallerAnswer answer) {
         answer.endWithin(routed.deadlineMillis() - clock.millis());
         CompletableFuture<Either<Refusal, Admission.Permit>> reply = new CompletableFuture<>();
         admission.admit(
@@ -109,22 +109,22 @@
         permit.peekLeft(answer::refuse);
         permit.peek(held -> {
             try {
-                run(snapshot, routed, answer);
+                run(routed, answer);
             } finally {
                 held.release();
             }
         });
     }
 
-    private void run(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+    private void run(RoutedRequest routed, CallerAnswer answer) {
         if (routed.route().idempotent()) {
-            upstreams.call(snapshot, routed, answer);
+            upstreams.call(snapshots, routed, answer);
         } else {
-            runOnce(snapshot, routed, answer);
+            runOnce(routed, answer);
         }
     }
 
-    private void runOnce(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+    private void runOnce(RoutedRequest routed, CallerAnswer answer) {
         Optional<String> key = routed.request().header(routed.route().idempotencyHeader());
         if (key.filter(text -> !text.isBlank()).isEmpty()) {
             answer.refuse(Refusal.of(ErrorKind.KEY_MISSING, routed.route().idempotencyHeader()));
@@ -135,7 +135,7 @@
         ledger.begin(action, Fingerprint.of(routed.request()), routed.deadlineMillis(), reply::complete);
         ActionLedger.Decision decision = reply.join();
         if (decision instanceof ActionLedger.Decision.Run run) {
-            send(run.claim(), snapshot, routed, answer);
+            send(run.claim(), routed, answer);
         } else if (decision instanceof ActionLedger.Decision.Repeat repeat) {
             answer.repeat(repeat.answer());
         } else if (decision instanceof ActionLedger.Decision.Refuse refuse) {
@@ -143,11 +143,11 @@
         }
     }
 
-    private void send(ActionLedger.Claim claim, RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
+    private void send(ActionLedger.Claim claim, RoutedRequest routed, CallerAnswer answer) {
         ActionLedger.Outcome outcome = new ActionLedger.Outcome.Unknown();
         CompletableFuture<Void> recorded = new CompletableFuture<>();
         try {
-            outcome = upstreams.callOnce(snapshot, routed, answer);
+            outcome = upstreams.callOnce(snapshots, routed, answer);
         } finally {
             ledger.finish(claim, outcome, () -> recorded.complete(null));
         }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamAttempt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.cuminspur.config.ServiceKind;
 import org.cuminspur.errors.Refusal;
@@ -42,7 +43,7 @@
     private final HttpClient http;
     private final Clock clock;
     private final MetricRegistry metrics;
-    private final RoutingSnapshot snapshot;
+    private final Supplier<RoutingSnapshot> snapshots;
     private final RoutedRequest routed;
     private final Cancellation cancellation;
     private final Set<UpstreamId> failed = new HashSet<>();
@@ -55,13 +56,13 @@
             HttpClient http,
             Clock clock,
             MetricRegistry metrics,
-            RoutingSnapshot snapshot,
+            Supplier<RoutingSnapshot> snapshots,
             RoutedRequest routed,
             Cancellation cancellation) {
         this.http = http;
         this.clock = clock;
         this.metrics = metrics;
-        this.snapshot = snapshot;
+        this.snapshots = snapshots;
         this.routed = routed;
         this.cancellation = cancellation;
     }
@@ -73,14 +74,14 @@
 
     /** Returns whether the request is for a model engine. */
     boolean isEngine() {
-        UpstreamSet set = snapshot.upstreams().get(routed.route().service());
+        UpstreamSet set = snapshots.get().upstreams().get(routed.route().service());
         return set != null && set.service().kind() == ServiceKind.ENGINE;
     }
 
-    /** Sends the request to an upstream that it has not failed at. */
+    /** Sends the request to an upstream of the newest snapshot that it has not failed at. */
     AttemptEvent send() {
         close();
-        UpstreamSet set = snapshot.upstreams().get(routed.route().service());
+        UpstreamSet set = snapshots.get().upstreams().get(routed.route().service());
         Optional<UpstreamView> placed = set == null ? Optional.empty() : Placement.place(set, routed.chat(), failed);
         if (placed.isEmpty()) {
             return new AttemptEvent.NoUpstream();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamCaller.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamCaller.java
@@ -1,6 +1,7 @@
 package org.cuminspur.router.internal.caller;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.function.Supplier;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.once.ActionLedger.Outcome;
@@ -28,8 +29,8 @@
     }
 
     /** Serves a request that may be sent again; it is cancelled when its caller goes away. */
-    void call(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
-        run(snapshot, routed, answer, answer.gone());
+    void call(Supplier<RoutingSnapshot> snapshots, RoutedRequest routed, CallerAnswer answer) {
+        run(snapshots, routed, answer, answer.gone());
     }
 
     /**
@@ -37,17 +38,17 @@
      *
      * <p>Goes on when its caller goes away, since the answer is then kept for the repeat.
      */
-    Outcome callOnce(RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer) {
-        return run(snapshot, routed, answer, new Cancellation());
+    Outcome callOnce(Supplier<RoutingSnapshot> snapshots, RoutedRequest routed, CallerAnswer answer) {
+        return run(snapshots, routed, answer, new Cancellation());
     }
 
     private Outcome run(
-            RoutingSnapshot snapshot, RoutedRequest routed, CallerAnswer answer, Cancellation cancellation) {
+            Supplier<RoutingSnapshot> snapshots, RoutedRequest routed, CallerAnswer answer, Cancellation cancellation) {
         RetryTerms terms = new RetryTerms(routed.route().idempotent(), routed.deadlineMillis());
         RequestAttempts attempts =
                 new RequestAttempts(terms, budgets.of(routed.account().id()), clock);
         AnswerRelay relay = new AnswerRelay(routed, answer, clock, cancellation);
-        UpstreamAttempt attempt = new UpstreamAttempt(http, clock, metrics, snapshot, routed, cancellation);
+        UpstreamAttempt attempt = new UpstreamAttempt(http, clock, metrics, snapshots, routed, cancellation);
         return new RequestRun(attempts, attempt, relay, answer, cancellation, metrics).run();
     }
 }
