--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/EndToEnd.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/EndToEnd.java
@@ -17,7 +17,6 @@
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.routing.RouteTable;
-import org.cuminspur.standin.fleet.ChildProcess;
 import org.cuminspur.standin.fleet.LocalFleet;
 import org.cuminspur.time.Clock;
 
@@ -92,17 +91,7 @@
         String text = "[service stock]\nkind = plain\nslots = 64\n[route stock]\nservice = stock\npath = /stock\n"
                 + "[account caller]\nrate = 1000000\nconcurrent = 1000000\nkey-sha256 = " + RouteTable.sha256(KEY)
                 + "\n";
-        String folder = fleet.serviceFile("stock", text).toString();
-        ChildProcess publish = ChildProcess.start(
-                "publish",
-                "org.cuminspur.pgm.Main",
-                "publish",
-                "--settings",
-                fleet.operatorSettings().toString(),
-                folder);
-        if (publish.awaitEnd() != 0) {
-            throw new IllegalStateException(String.join("\n", publish.lines()));
-        }
+        fleet.publish("stock", text);
     }
 
     private long cpuMillis() {
--- a/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/StreamCost.java
+++ b/org.cuminspur.benchmarks/src/org/cuminspur/benchmarks/speed/StreamCost.java
@@ -19,7 +19,6 @@
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.http.client.HttpStream;
 import org.cuminspur.routing.RouteTable;
-import org.cuminspur.standin.fleet.ChildProcess;
 import org.cuminspur.standin.fleet.LocalFleet;
 import org.cuminspur.time.Clock;
 
@@ -118,17 +117,7 @@
         String text = "[service chat]\nslots = 256\n[route chat]\nservice = chat\npath = /v1/chat/completions\n"
                 + "[account caller]\nrate = 1000000\nconcurrent = 1000000\nkey-sha256 = " + RouteTable.sha256(KEY)
                 + "\n";
-        String folder = fleet.serviceFile("chat", text).toString();
-        ChildProcess publish = ChildProcess.start(
-                "publish",
-                "org.cuminspur.pgm.Main",
-                "publish",
-                "--settings",
-                fleet.operatorSettings().toString(),
-                folder);
-        if (publish.awaitEnd() != 0) {
-            throw new IllegalStateException(String.join("\n", publish.lines()));
-        }
+        fleet.publish("chat", text);
     }
 
     private long cpuMillis() {
--- a/org.cuminspur.http/src/org/cuminspur/http/platform/InstanceWatcher.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/platform/InstanceWatcher.java
@@ -68,6 +68,7 @@
             Option<String> version = list.readJson().map(this::replace);
             while (version.isDefined() && !closed) {
                 version = version.flatMap(this::watch);
+                pause();
             }
             pause();
         }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/fleet/LocalFleet.java
@@ -142,6 +142,20 @@
         return write("services/" + name + ".cuminspur.ini", text).getParent();
     }
 
+    /** Publishes a service file as an operator does and waits until it is in force. */
+    public void publish(String name, String text) {
+        ChildProcess publish = ChildProcess.start(
+                "publish",
+                "org.cuminspur.pgm.Main",
+                "publish",
+                "--settings",
+                operatorSettings().toString(),
+                serviceFile(name, text).toString());
+        if (publish.awaitEnd() != 0) {
+            throw new IllegalStateException(String.join("\n", publish.lines()));
+        }
+    }
+
     /** Sets a switch for faults of the platform or of an upstream. */
     public void fault(String name, String json) {
         int port = name.equals("platform") ? platformPort : instances.get(name).port(ListedInstance.HTTP_PORT);
--- a/org.cuminspur/src/org/cuminspur/once/ActionLedger.java
+++ b/org.cuminspur/src/org/cuminspur/once/ActionLedger.java
@@ -53,7 +53,7 @@
 
     /** How an action ended; each kind is an immutable record. */
     sealed interface Outcome {
-        /** It is certain that no byte was sent. */
+        /** It is certain that it did not run: no byte was sent, or the upstream promised so. */
         record NotSent() implements Outcome {}
 
         /** It ran and was answered. */
