--- a/org.cuminspur.http/src/org/cuminspur/http/LogSetup.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/LogSetup.java
@@ -10,6 +10,11 @@
     /** Uses a Logback file on the class path, unless the command line names another. */
     public static void use(String logbackFile) {
         setDefault(LOGBACK_FILE, logbackFile);
+        useSlf4j();
+    }
+
+    /** Lets libraries log through SLF4J; the process chooses where the lines go. */
+    public static void useSlf4j() {
         setDefault(UNDERTOW_LOGS, "slf4j");
     }
 
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/WireDialect.java
@@ -0,0 +1,41 @@
+package org.cuminspur.router;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
+import io.vavr.control.Either;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.traffic.AnswerHead;
+import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.SendHead;
+
+/**
+ * The headers by which callers, instances and upstreams tell each other what the body does not.
+ *
+ * <p>Implementations are stateless and thread-safe. They translate and decide nothing.
+ */
+public interface WireDialect {
+    /** Reads a caller's headers, or returns why they cannot be read. */
+    Either<Refusal, CallHead> call(HeaderMap headers);
+
+    /** Returns whether a caller's header is passed on to the upstream as it came. */
+    boolean passesToUpstream(HttpString name);
+
+    /** Adds what the upstream is told to a request. */
+    void tell(HeaderMap request, CallHead call, SendHead head);
+
+    /** Reads the headers of an upstream's answer. */
+    AnswerHead answer(int status, HeaderMap headers);
+
+    /** Returns whether a header of an upstream's answer is passed on to the caller. */
+    boolean passesToCaller(HttpString name);
+
+    /** Returns whether a status, by itself, promises callers that a request has not run. */
+    boolean promisesNotRun(int status);
+
+    /** Returns the status of a refusal; it is one that promises "not run" only if the kind is sure of that. */
+    int status(ErrorKind kind);
+
+    /** Adds when to come back, and what is known of the request, to a refusal's headers. */
+    void refuse(HeaderMap answer, CallHead call, Refusal refusal);
+}
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/BodyReceipt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/BodyReceipt.java
@@ -1,14 +1,12 @@
 package org.cuminspur.router.internal.caller;
 
-import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.cuminspur.errors.ErrorKind;
-import org.cuminspur.errors.Refusal;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 
 /**
@@ -17,25 +15,38 @@
  * <p>Used on the input-output thread of the connection only. The time runs over the whole body, so that a caller that
  * sends a byte now and then is refused too.
  */
-final class BodyReceipt {
+public final class BodyReceipt {
     private final HttpServerExchange exchange;
-    private final MetricRegistry metrics;
+    private final Runnable gone;
+    private final Consumer<ErrorKind> refused;
     private final BiConsumer<HttpServerExchange, byte[]> received;
     private XnioExecutor.Key timer;
     private boolean ended;
 
-    BodyReceipt(HttpServerExchange exchange, MetricRegistry metrics, BiConsumer<HttpServerExchange, byte[]> received) {
+    /**
+     * Makes a receipt; one of the three is called once.
+     *
+     * @param gone runs if the connection broke
+     * @param refused receives why the body is not taken
+     * @param received receives the whole body
+     */
+    public BodyReceipt(
+            HttpServerExchange exchange,
+            Runnable gone,
+            Consumer<ErrorKind> refused,
+            BiConsumer<HttpServerExchange, byte[]> received) {
         this.exchange = exchange;
-        this.metrics = metrics;
+        this.gone = gone;
+        this.refused = refused;
         this.received = received;
     }
 
     /** Starts to receive. */
-    void start(long timeoutMillis) {
+    public void start(long timeoutMillis) {
         exchange.getRequestReceiver()
                 .receiveFullBytes((same, body) -> end(() -> received.accept(same, body)), (same, e) -> failed(e));
         if (!ended) {
-            Runnable tooSlow = () -> end(() -> refuse(ErrorKind.SENDER_TOO_SLOW));
+            Runnable tooSlow = () -> end(() -> refused.accept(ErrorKind.SENDER_TOO_SLOW));
             timer = exchange.getIoThread().executeAfter(tooSlow, timeoutMillis, TimeUnit.MILLISECONDS);
         }
     }
@@ -43,19 +54,13 @@
     private void failed(IOException cause) {
         end(() -> {
             if (cause instanceof RequestTooBigException) {
-                refuse(ErrorKind.BODY_TOO_LARGE);
+                refused.accept(ErrorKind.BODY_TOO_LARGE);
             } else {
-                metrics.counter("callers.gone").inc();
-                IoUtils.safeClose(exchange.getConnection());
-                exchange.endExchange();
+                gone.run();
             }
         });
     }
 
-    private void refuse(ErrorKind kind) {
-        EarlyRefusal.send(exchange, Refusal.of(kind), metrics);
-    }
-
     private void end(Runnable action) {
         if (!ended) {
             ended = true;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
@@ -51,10 +51,20 @@
         if (refusal.isPresent()) {
             EarlyRefusal.send(exchange, refusal.get(), metrics);
         } else {
-            new BodyReceipt(exchange, metrics, this::received).start(bodyTimeoutMillis);
+            new BodyReceipt(
+                            exchange,
+                            () -> lost(exchange),
+                            kind -> EarlyRefusal.send(exchange, Refusal.of(kind), metrics),
+                            this::received)
+                    .start(bodyTimeoutMillis);
         }
     }
 
+    private void lost(HttpServerExchange exchange) {
+        metrics.counter("callers.gone").inc();
+        EarlyRefusal.close(exchange);
+    }
+
     private void received(HttpServerExchange exchange, byte[] body) {
         exchange.dispatch(() -> serve(exchange, body));
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EarlyRefusal.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EarlyRefusal.java
@@ -22,7 +22,7 @@
  * dropped for a short time before the connection closes, since closing over unread bytes would reset the connection
  * and the caller might not see its answer.
  */
-final class EarlyRefusal {
+public final class EarlyRefusal {
     private static final long LINGER_MS = 1_000;
     private static final int DROP_BYTES = 16 * 1_024;
 
@@ -32,8 +32,12 @@
     static void send(HttpServerExchange exchange, Refusal refusal, MetricRegistry metrics) {
         metrics.counter("refused." + refusal.kind().label()).inc();
         RefusalHead.set(exchange, refusal);
+        sendAndClose(exchange, RefusalHead.json(refusal).getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Sends an answer whose status and headers are set, then closes the connection. */
+    public static void sendAndClose(HttpServerExchange exchange, byte[] body) {
         exchange.setPersistent(false);
-        byte[] body = RefusalHead.json(refusal).getBytes(StandardCharsets.UTF_8);
         exchange.setResponseContentLength(body.length);
         exchange.getResponseSender().send(ByteBuffer.wrap(body), new IoCallback() {
             @Override
@@ -78,7 +82,8 @@
         }
     }
 
-    private static void close(HttpServerExchange exchange) {
+    /** Closes the connection of a request that was not read whole. */
+    public static void close(HttpServerExchange exchange) {
         IoUtils.safeClose(exchange.getConnection());
         exchange.endExchange();
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventSplitter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventSplitter.java
@@ -9,7 +9,7 @@
  *
  * <p>Used by one thread. Only whole events are given out, so that a stream can go on after any of them.
  */
-final class EventSplitter {
+public final class EventSplitter {
     private static final int MAX_EVENT_BYTES = 1_024 * 1_024;
     private static final String END_MARK = "[DONE]";
 
@@ -21,7 +21,7 @@
     private boolean gap;
 
     /** Takes bytes and returns the whole events that they complete, possibly none. */
-    byte[] take(byte[] piece) {
+    public byte[] take(byte[] piece) {
         waiting.writeBytes(piece);
         byte[] held = waiting.toByteArray();
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
@@ -39,28 +39,28 @@
     }
 
     /** Drops a part of an event and expects the stream to go on right after the last id. */
-    void resumed() {
+    public void resumed() {
         waiting = new ByteArrayOutputStream();
         resumedAfter = lastId;
     }
 
     /** Returns the bytes after the last whole event. */
-    byte[] rest() {
+    public byte[] rest() {
         return waiting.toByteArray();
     }
 
     /** Returns the id of the last event, if it is a number and the event that came last has one. */
-    OptionalLong resumePoint() {
+    public OptionalLong resumePoint() {
         return idIsNewest && !done && !gap ? lastId : OptionalLong.empty();
     }
 
     /** Returns whether the event that ends a model's answer has come. */
-    boolean done() {
+    public boolean done() {
         return done;
     }
 
     /** Returns whether the stream cannot be followed: it went on elsewhere than asked, or an event is too large. */
-    boolean lost() {
+    public boolean lost() {
         return gap || waiting.size() > MAX_EVENT_BYTES;
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/HeadLimits.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/HeadLimits.java
@@ -15,12 +15,22 @@
  *
  * @param maxHeaderBytes the most bytes of names and values together
  */
-record HeadLimits(int maxHeaderBytes) {
+public record HeadLimits(int maxHeaderBytes) {
     /** Bytes of a header line besides name and value: colon, space and line end. */
     private static final int LINE_BYTES = 4;
 
     /** Returns why the request is refused, if it is. */
     Optional<Refusal> check(HttpServerExchange exchange) {
+        Optional<Refusal> refusal = checkHeaders(exchange);
+        if (refusal.isPresent()) {
+            return refusal;
+        }
+        Either<Refusal, String> path = RequestPath.decode(exchange.getRequestURI());
+        return path.isLeft() ? Optional.of(path.getLeft()) : Optional.empty();
+    }
+
+    /** Returns why the request is refused for its headers, whatever its path is. */
+    public Optional<Refusal> checkHeaders(HttpServerExchange exchange) {
         HeaderMap headers = exchange.getRequestHeaders();
         if (bytes(headers) + exchange.getRequestURI().length() > maxHeaderBytes) {
             return Optional.of(Refusal.of(ErrorKind.HEADERS_TOO_LARGE));
@@ -28,8 +38,7 @@
         if (lengthIsAmbiguous(headers)) {
             return Optional.of(Refusal.of(ErrorKind.BAD_REQUEST, "the length of the body is ambiguous"));
         }
-        Either<Refusal, String> path = RequestPath.decode(exchange.getRequestURI());
-        return path.isLeft() ? Optional.of(path.getLeft()) : Optional.empty();
+        return Optional.empty();
     }
 
     private static int bytes(HeaderMap headers) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/operator/PrometheusText.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/operator/PrometheusText.java
@@ -9,12 +9,13 @@
 import java.util.function.BiConsumer;
 
 /** Writes metrics in the Prometheus text format; stateless and thread-safe. */
-final class PrometheusText {
+public final class PrometheusText {
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private PrometheusText() {}
 
-    static String of(MetricRegistry metrics) {
+    /** Returns the present values. */
+    public static String of(MetricRegistry metrics) {
         StringBuilder text = new StringBuilder();
         BiConsumer<String, Number> line =
                 (name, value) -> text.append(name).append(' ').append(value).append('\n');
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ClientWatch.java
@@ -0,0 +1,72 @@
+package org.cuminspur.router.internal.traffic;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices that a caller closes its connection while its answer is awaited.
+ *
+ * <p>Used on the connection's input-output thread. Starts once the request was read whole, and must be stopped before
+ * the end of the answer is written. Bytes that come earlier are handed back to the connection.
+ */
+final class ClientWatch {
+    private final HttpServerConnection connection;
+
+    /** Reads from the connection itself; the exchange's own channel tells the end of the request's body. */
+    private final StreamSourceConduit source;
+
+    private final Runnable gone;
+    private boolean stopped;
+
+    ClientWatch(HttpServerExchange exchange, Runnable gone) {
+        this.connection = (HttpServerConnection) exchange.getConnection();
+        this.source = connection.getOriginalSourceConduit();
+        this.gone = gone;
+    }
+
+    void start() {
+        // Bytes that wait to be parsed belong to the next request.
+        if (connection.getExtraBytes() == null) {
+            connection.getChannel().getSourceChannel().setReadListener(channel -> read());
+            source.resumeReads();
+        }
+    }
+
+    void stop() {
+        if (!stopped) {
+            stopped = true;
+            source.suspendReads();
+        }
+    }
+
+    private void read() {
+        if (stopped) {
+            source.suspendReads();
+            return;
+        }
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        int count = read(pooled);
+        if (count > 0) {
+            source.suspendReads();
+            pooled.getBuffer().flip();
+            connection.ungetRequestBytes(pooled);
+            return;
+        }
+        pooled.close();
+        if (count < 0) {
+            stop();
+            gone.run();
+        }
+    }
+
+    private int read(PooledByteBuffer pooled) {
+        try {
+            return source.read(pooled.getBuffer());
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
@@ -0,0 +1,65 @@
+package org.cuminspur.router.internal.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.cuminspur.time.Clock;
+import org.cuminspur.traffic.Freshness;
+
+/**
+ * Holds requests whose key cannot be trusted until the view of the store is confirmed.
+ *
+ * <p>Not thread-safe; used on the traffic thread. A request waits for a few round trips to the store at most, and is
+ * then told that its key could not be confirmed.
+ */
+final class ConfirmationQueue {
+    /** Longest wait; the store answers in milliseconds, and a caller may do better at another instance. */
+    private static final long LONGEST_WAIT_MS = 250;
+
+    /** Part of the bound within which a view counts as current; the rest covers the way to the upstream. */
+    private static final double USED = 0.85;
+
+    private record Waiting(long untilMillis, Consumer<Boolean> then) {}
+
+    private final Freshness freshness;
+    private final Clock clock;
+    private final long limitMillis;
+    private final Runnable confirmSoon;
+    private List<Waiting> queue = new ArrayList<>();
+
+    ConfirmationQueue(Freshness freshness, Clock clock, long revokeMillis, Runnable confirmSoon) {
+        this.freshness = freshness;
+        this.clock = clock;
+        this.limitMillis = (long) (USED * revokeMillis);
+        this.confirmSoon = confirmSoon;
+    }
+
+    /** Returns whether keys can be trusted now. */
+    boolean current() {
+        return freshness.ageMillis() < limitMillis;
+    }
+
+    /** Calls back once keys can be trusted, or in vain. */
+    void whenCurrent(Consumer<Boolean> then) {
+        queue.add(new Waiting(clock.millis() + LONGEST_WAIT_MS, then));
+        confirmSoon.run();
+    }
+
+    /** Calls back all that need not wait longer. */
+    void flush() {
+        if (queue.isEmpty()) {
+            return;
+        }
+        boolean current = current();
+        long now = clock.millis();
+        List<Waiting> before = queue;
+        queue = new ArrayList<>();
+        before.forEach(one -> {
+            if (current || now >= one.untilMillis()) {
+                one.then().accept(current);
+            } else {
+                queue.add(one);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -0,0 +1,345 @@
+package org.cuminspur.router.internal.traffic;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.retry.AttemptEvent;
+import org.cuminspur.retry.NextStep;
+import org.cuminspur.retry.RequestAttempts;
+import org.cuminspur.retry.RetryTerms;
+import org.cuminspur.traffic.AnswerHead;
+import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.FleetRetryBudget;
+import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.SendHead;
+import org.cuminspur.traffic.TrafficAccount;
+import org.cuminspur.traffic.UpstreamState;
+import org.xnio.XnioExecutor;
+
+/**
+ * Takes one request from its arrival to its end.
+ *
+ * <p>Used on the input-output thread, which it never blocks. {@link RequestAttempts} decides what follows each event of
+ * an attempt; this class carries it out. A request ends in exactly one way: whole answer, refusal, cut answer, or
+ * caller gone.
+ */
+final class RequestFlow implements UpstreamSend.Listener, CallerReply.Listener {
+    /** Time past its deadline that an answer on its way is still waited for; callers allow a quarter second. */
+    private static final long LAST_MOMENT_MS = 120;
+
+    private static final int SERVER_ERROR = 500;
+    private static final int REDIRECTION = 300;
+
+    private final TrafficContext traffic;
+    private final HttpServerExchange exchange;
+    private final byte[] body;
+    private final CallHead call;
+    private final long arrivedMillis;
+    private final CallerReply reply;
+    private final ClientWatch watch;
+    private final FlowLog log;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private final EventRelay relay = new EventRelay();
+    private RoutedCall routed;
+    private RequestAttempts attempts;
+    private XnioExecutor.Key timer;
+    private UpstreamSend send;
+    private long sentMillis;
+    private long firstByteMillis = -1;
+    private int status;
+    private boolean over;
+
+    RequestFlow(TrafficContext traffic, HttpServerExchange exchange, CallHead call, byte[] body, long arrivedMillis) {
+        this.traffic = traffic;
+        this.exchange = exchange;
+        this.call = call;
+        this.body = body;
+        this.arrivedMillis = arrivedMillis;
+        this.reply = new CallerReply(exchange, this);
+        this.watch = new ClientWatch(exchange, this::gone);
+        this.log = new FlowLog(traffic, call);
+    }
+
+    void start() {
+        traffic.stop().entered();
+        watch.start();
+        route(true);
+    }
+
+    /** Routes the request; one let in by a key waits until the key is sure to be in force still. */
+    private void route(boolean mayWait) {
+        if (over) {
+            return;
+        }
+        Either<Refusal, RoutedCall> found =
+                traffic.router().route(traffic.board().view(), exchange, call, arrivedMillis);
+        boolean current = traffic.confirmations().current();
+        if (!current && (found.isLeft() || found.get().keyed())) {
+            if (mayWait) {
+                traffic.confirmations().whenCurrent(confirmed -> route(false));
+            } else {
+                refuse(Refusal.of(ErrorKind.NOT_READY));
+            }
+        } else if (found.isLeft()) {
+            refuse(found.getLeft());
+        } else {
+            begin(found.get());
+        }
+    }
+
+    private void begin(RoutedCall known) {
+        routed = known;
+        long left = routed.deadlineMillis() - now() + LAST_MOMENT_MS;
+        timer = exchange.getIoThread().executeAfter(this::expired, Math.max(1, left), TimeUnit.MILLISECONDS);
+        FleetRetryBudget budget = traffic.retryBudget(routed.service());
+        budget.requested();
+        RetryTerms terms = new RetryTerms(
+                routed.route().idempotent(),
+                routed.deadlineMillis(),
+                routed.route().maxAttempts());
+        attempts = new RequestAttempts(terms, budget, traffic.clock());
+        step(attempts.first());
+    }
+
+    private void step(NextStep next) {
+        if (next instanceof NextStep.Send || next instanceof NextStep.Resume) {
+            place();
+        } else if (next instanceof NextStep.Refuse refuse) {
+            refuse(refuse.refusal());
+        } else if (next instanceof NextStep.BreakOff breakOff) {
+            cut(breakOff.refusal().kind().label());
+        }
+    }
+
+    private void place() {
+        long now = now();
+        OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
+        Optional<UpstreamState> chosen = traffic.placement()
+                .choose(traffic.board().of(routed.service()), new PromptPlacement.Demand(key, tried), now);
+        if (chosen.isEmpty()) {
+            step(attempts.after(new AttemptEvent.NoUpstream()));
+            return;
+        }
+        UpstreamState upstream = chosen.get();
+        log.placed(routed, upstream, tried.size() + 1, now);
+        tried.add(upstream.id());
+        sentMillis = now;
+        send = new UpstreamSend(upstream, traffic.connections(), traffic.buffer(), this);
+        upstream.started(send, now);
+        upstream.health().tried(now);
+        send.start(request(upstream, now), body);
+    }
+
+    private ClientRequest request(UpstreamState upstream, long now) {
+        OptionalLong passedOn = relay.resumePoint();
+        Optional<String> after =
+                passedOn.isPresent() ? Optional.of(Long.toString(passedOn.getAsLong())) : call.lastEventId();
+        Optional<AccountId> account = routed.account().map(TrafficAccount::id);
+        long left = Math.max(1, routed.deadlineMillis() - now);
+        SendHead head = new SendHead(left, upstream.id(), account, routed.urgency(), after);
+        return UpstreamRequests.of(exchange, body.length, traffic.dialect(), call, head);
+    }
+
+    @Override
+    public void notConnected(UpstreamSend from) {
+        settle(from);
+        long now = now();
+        if (from.upstream().health().unreachable(now)) {
+            log.leftOut(from.upstream(), "unreachable");
+        }
+        from.upstream().suspectCold(now, warmupMillis());
+        failed(from, "not-connected", 0, new AttemptEvent.NotConnected());
+    }
+
+    @Override
+    public void answered(UpstreamSend from, int answerStatus, HeaderMap headers) {
+        AnswerHead head = traffic.dialect().answer(answerStatus, headers);
+        if (!ours(head, answerStatus)) {
+            from.cancel();
+            settle(from);
+            noteFailure(from, "foreign-answer");
+            failed(from, "foreign-answer", answerStatus, broken());
+            return;
+        }
+        from.upstream().answered(from);
+        head.load().ifPresent(load -> from.upstream().report(load.running(), load.waiting(), now()));
+        if (head.notRun()) {
+            from.discard();
+            settle(from);
+            failed(from, "not-run", answerStatus, new AttemptEvent.Refused(true, Refusal.DEFAULT_RETRY_AFTER_MS));
+        } else if (answerStatus >= SERVER_ERROR || traffic.dialect().promisesNotRun(answerStatus)) {
+            serverError(from, answerStatus, headers);
+        } else {
+            from.upstream().health().succeeded();
+            attempts.after(new AttemptEvent.Answered());
+            relay(answerStatus, headers);
+        }
+    }
+
+    /** Returns whether an answer is one to this request, and signed if it claims success. */
+    private boolean ours(AnswerHead head, int answerStatus) {
+        boolean success = answerStatus < REDIRECTION;
+        return head.requestId().map(call.requestId()::equals).orElse(!success) && (head.signed() || !success);
+    }
+
+    private void serverError(UpstreamSend from, int answerStatus, HeaderMap headers) {
+        noteFailure(from, "status");
+        // Without the upstream's word, such a status would promise the caller what nobody knows.
+        boolean mayPass = !relay.begun() && !traffic.dialect().promisesNotRun(answerStatus);
+        NextStep next = attempts.after(mayPass ? new AttemptEvent.Failed() : broken());
+        if (next instanceof NextStep.Relay) {
+            relay(answerStatus, headers);
+            return;
+        }
+        from.discard();
+        settle(from);
+        log.attemptFailed(from, "status", answerStatus, now() - sentMillis);
+        step(next);
+    }
+
+    private void relay(int answerStatus, HeaderMap headers) {
+        if (relay.begun()) {
+            relay.resumed();
+            return;
+        }
+        status = answerStatus;
+        firstByteMillis = now() - arrivedMillis;
+        boolean resumable = routed.route().resumable() && answerStatus < REDIRECTION;
+        relay.begin(resumable);
+        HeaderMap passed = UpstreamRequests.answer(headers, traffic.dialect());
+        closeIfStopping(passed);
+        reply.begin(answerStatus, passed);
+    }
+
+    @Override
+    public void body(UpstreamSend from, ByteBuffer bytes) {
+        reply.write(relay.take(bytes));
+        if (relay.lost()) {
+            from.cancel();
+            settle(from);
+            cut("stream-gap");
+        }
+    }
+
+    @Override
+    public void ended(UpstreamSend from) {
+        settle(from);
+        reply.write(relay.rest());
+        attempts.after(new AttemptEvent.Whole());
+        finish(status >= SERVER_ERROR ? "upstream-failed" : "served");
+        reply.end();
+    }
+
+    @Override
+    public void broken(UpstreamSend from) {
+        settle(from);
+        noteFailure(from, "broken");
+        failed(from, "broken", status, broken());
+    }
+
+    /** Returns the event of an answer that broke off, or that never began. */
+    private AttemptEvent broken() {
+        return relay.begun()
+                ? new AttemptEvent.Cut(relay.resumePoint().isPresent())
+                : new AttemptEvent.Broken();
+    }
+
+    @Override
+    public void paused(boolean pause) {
+        if (send != null) {
+            send.pause(pause);
+        }
+    }
+
+    @Override
+    public void gone() {
+        if (!over) {
+            cancelSend();
+            finish("caller-gone");
+            reply.cut();
+        }
+    }
+
+    private void expired() {
+        if (!over) {
+            cancelSend();
+            step(attempts.after(relay.begun() ? new AttemptEvent.Late() : new AttemptEvent.TimedOut()));
+        }
+    }
+
+    private void refuse(Refusal refusal) {
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.CONTENT_TYPE, "text/plain");
+        traffic.dialect().refuse(headers, call, refusal);
+        closeIfStopping(headers);
+        status = traffic.dialect().status(refusal.kind());
+        finish(refusal.kind().label());
+        reply.answer(status, headers, refusal.kind().message().getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private void cut(String cause) {
+        finish("cut-" + cause);
+        reply.cut();
+    }
+
+    private void closeIfStopping(HeaderMap headers) {
+        if (traffic.stop().stopping()) {
+            exchange.setPersistent(false);
+            headers.put(Headers.CONNECTION, "close");
+        }
+    }
+
+    private void failed(UpstreamSend from, String how, int answerStatus, AttemptEvent event) {
+        log.attemptFailed(from, how, answerStatus, now() - sentMillis);
+        step(attempts.after(event));
+    }
+
+    private void noteFailure(UpstreamSend from, String cause) {
+        if (from.upstream().health().failed(now())) {
+            log.leftOut(from.upstream(), cause);
+        }
+    }
+
+    private void cancelSend() {
+        if (send != null) {
+            send.cancel();
+            settle(send);
+        }
+    }
+
+    private void settle(UpstreamSend from) {
+        send = null;
+        from.upstream().ended(from);
+    }
+
+    private void finish(String outcome) {
+        over = true;
+        watch.stop();
+        if (timer != null) {
+            timer.remove();
+        }
+        traffic.stop().left();
+        log.ended(routed, outcome, status, tried.size(), firstByteMillis, now() - arrivedMillis);
+    }
+
+    private long warmupMillis() {
+        return traffic.board().warmupMillis(routed.service());
+    }
+
+    private long now() {
+        return traffic.clock().millis();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
@@ -0,0 +1,50 @@
+package org.cuminspur.router.internal.traffic;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import org.cuminspur.event.EventSink;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.router.WireDialect;
+import org.cuminspur.time.Clock;
+import org.cuminspur.traffic.FleetRetryBudget;
+import org.cuminspur.traffic.Freshness;
+import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.TrafficBounds;
+import org.cuminspur.traffic.UpstreamBoard;
+
+/**
+ * What all requests of one traffic thread share.
+ *
+ * <p>Not thread-safe; used on the traffic thread, but for the metrics and the events.
+ *
+ * @param buffer for reading answers, used within one call at a time
+ */
+record TrafficContext(
+        Clock clock,
+        TrafficBounds bounds,
+        Freshness freshness,
+        UpstreamBoard board,
+        PromptPlacement placement,
+        CallRouter router,
+        UpstreamConnections connections,
+        WireDialect dialect,
+        EventSink events,
+        MetricRegistry metrics,
+        ByteBuffer buffer,
+        Map<ServiceId, FleetRetryBudget> retryBudgets,
+        ConfirmationQueue confirmations,
+        StopState stop) {
+    TrafficContext {
+        retryBudgets = new HashMap<>(retryBudgets);
+    }
+
+    /** Returns the retry budget of a service. */
+    FleetRetryBudget retryBudget(ServiceId service) {
+        FleetRetryBudget budget =
+                retryBudgets.computeIfAbsent(service, absent -> new FleetRetryBudget(bounds, clock));
+        budget.share(board.view().instances().size());
+        return budget;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
@@ -0,0 +1,82 @@
+package org.cuminspur.router.internal.traffic;
+
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.router.internal.caller.BodyReceipt;
+import org.cuminspur.router.internal.caller.EarlyRefusal;
+import org.cuminspur.router.internal.caller.HeadLimits;
+import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.MessageLimits;
+import org.cuminspur.traffic.PromptShape;
+
+/**
+ * Receives requests on the traffic thread and starts a {@link RequestFlow} for each.
+ *
+ * <p>Used on the traffic thread. A request that breaks a limit is refused before its body is read.
+ */
+final class TrafficHandler implements HttpHandler {
+    /** Limits until a configuration names others. */
+    private static final MessageLimits FIRST_LIMITS = new MessageLimits(16_384, 4_194_304, 3_000, 15_000);
+
+    /** Longest time for a body; far above what the largest takes on the slowest link. */
+    private static final long BODY_TIMEOUT_MS = 10_000;
+
+    private static final CallHead UNREADABLE =
+            new CallHead("", Optional.empty(), OptionalLong.empty(), PromptShape.NONE, Optional.empty());
+
+    private final TrafficContext traffic;
+
+    TrafficHandler(TrafficContext traffic) {
+        this.traffic = traffic;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        long arrived = traffic.clock().millis();
+        MessageLimits limits =
+                traffic.board().view().routes().map(routes -> routes.config().limits()).orElse(FIRST_LIMITS);
+        Optional<Refusal> refusal = new HeadLimits(limits.maxHeaderBytes()).checkHeaders(exchange);
+        if (refusal.isPresent()) {
+            refuse(exchange, refusal.get());
+            return;
+        }
+        Either<Refusal, CallHead> call = traffic.dialect().call(exchange.getRequestHeaders());
+        if (call.isLeft()) {
+            refuse(exchange, call.getLeft());
+            return;
+        }
+        exchange.setMaxEntitySize(limits.maxBodyBytes());
+        new BodyReceipt(
+                        exchange,
+                        () -> EarlyRefusal.close(exchange),
+                        kind -> refuse(exchange, Refusal.of(kind)),
+                        (same, body) -> received(exchange, call.get(), body, arrived))
+                .start(BODY_TIMEOUT_MS);
+    }
+
+    private void received(HttpServerExchange exchange, CallHead call, byte[] body, long arrived) {
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> new RequestFlow(traffic, exchange, call, body, arrived).start());
+    }
+
+    private void refuse(HttpServerExchange exchange, Refusal refusal) {
+        ErrorKind kind = refusal.kind();
+        HeaderMap headers = exchange.getResponseHeaders();
+        exchange.setStatusCode(traffic.dialect().status(kind));
+        headers.put(Headers.CONTENT_TYPE, "text/plain");
+        traffic.dialect().refuse(headers, UNREADABLE, refusal);
+        traffic.metrics().counter("requests." + kind.label()).inc();
+        traffic.events().emit("refused-unread", "kind", kind.label(), "detail", refusal.detail());
+        EarlyRefusal.sendAndClose(exchange, kind.message().getBytes(StandardCharsets.US_ASCII));
+    }
+}
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
@@ -0,0 +1,279 @@
+package org.cuminspur.router.internal.traffic;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.cuminspur.traffic.UpstreamState;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Sends one request to one upstream and hands on what comes back.
+ *
+ * <p>Used on one input-output thread. Exactly one of the listener's ends is called, unless the send was cancelled. A
+ * connection is kept only if request and answer went over it whole and nothing came after.
+ */
+final class UpstreamSend {
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+    private static final long SECOND_MS = 1_000;
+
+    /** Receives what becomes of the request. */
+    interface Listener {
+        /** No byte of the request was sent. */
+        void notConnected(UpstreamSend send);
+
+        /** An answer began. */
+        void answered(UpstreamSend send, int status, HeaderMap headers);
+
+        /** A part of the body came; the buffer is valid during the call only. */
+        void body(UpstreamSend send, ByteBuffer bytes);
+
+        /** The answer is whole. */
+        void ended(UpstreamSend send);
+
+        /** The connection broke before the answer was whole. */
+        void broken(UpstreamSend send);
+    }
+
+    private final UpstreamState upstream;
+    private final UpstreamConnections connections;
+    private final ByteBuffer buffer;
+    private final Listener listener;
+    private ClientRequest request;
+    private byte[] body;
+    private ClientConnection connection;
+    private StreamSourceChannel source;
+    private long keepMillis = UpstreamConnections.DEFAULT_KEEP_MS;
+    private boolean requestWritten;
+    private boolean reused;
+    private boolean over;
+    private boolean discarding;
+
+    /**
+     * Prepares a send.
+     *
+     * @param buffer shared by all sends of the thread
+     */
+    UpstreamSend(UpstreamState upstream, UpstreamConnections connections, ByteBuffer buffer, Listener listener) {
+        this.upstream = upstream;
+        this.connections = connections;
+        this.buffer = buffer;
+        this.listener = listener;
+    }
+
+    UpstreamState upstream() {
+        return upstream;
+    }
+
+    /** Returns whether the connection had served before. */
+    boolean reused() {
+        return reused;
+    }
+
+    /** Sends the request. */
+    void start(ClientRequest what, byte[] content) {
+        request = what;
+        body = content;
+        ClientConnection idle = connections.take(upstream);
+        if (idle != null) {
+            reused = true;
+            send(idle);
+        } else {
+            connections.connect(upstream, this::connected, this::notConnected);
+        }
+    }
+
+    /** Gives the answer up and closes the connection, which cancels the request at the upstream. */
+    void cancel() {
+        if (!over) {
+            over = true;
+            abort();
+        }
+    }
+
+    /** Reads the rest of the answer without handing it on, so that the connection can serve again. */
+    void discard() {
+        discarding = true;
+    }
+
+    /** Stops or goes on reading the answer. */
+    void pause(boolean pause) {
+        if (source != null && !over) {
+            if (pause) {
+                source.suspendReads();
+            } else {
+                source.resumeReads();
+            }
+        }
+    }
+
+    private void connected(ClientConnection opened) {
+        if (over) {
+            IoUtils.safeClose(opened);
+        } else {
+            send(opened);
+        }
+    }
+
+    private void notConnected() {
+        if (!over) {
+            over = true;
+            listener.notConnected(this);
+        }
+    }
+
+    private void send(ClientConnection to) {
+        connection = to;
+        connection.getCloseSetter().set(closed -> failSoon());
+        connection.sendRequest(request, callback(this::sendBody, this::notConnected));
+    }
+
+    private void sendBody(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::answered, this::fail));
+        StreamSinkChannel channel = exchange.getRequestChannel();
+        ByteBuffer bytes = ByteBuffer.wrap(body);
+        channel.getWriteSetter().set(writable -> write(writable, bytes));
+        write(channel, bytes);
+    }
+
+    private void write(StreamSinkChannel channel, ByteBuffer bytes) {
+        try {
+            while (bytes.hasRemaining()) {
+                if (channel.write(bytes) == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            channel.shutdownWrites();
+            if (!channel.flush()) {
+                channel.resumeWrites();
+                return;
+            }
+            channel.suspendWrites();
+            requestWritten = true;
+        } catch (IOException e) {
+            fail();
+        }
+    }
+
+    private void answered(ClientExchange exchange) {
+        if (over) {
+            return;
+        }
+        ClientResponse response = exchange.getResponse();
+        keepMillis = keepMillis(response.getResponseHeaders());
+        source = exchange.getResponseChannel();
+        listener.answered(this, response.getResponseCode(), response.getResponseHeaders());
+        if (over) {
+            return;
+        }
+        if (response.getResponseCode() == NO_CONTENT || response.getResponseCode() == NOT_MODIFIED) {
+            keepMillis = 0;
+            finish();
+            return;
+        }
+        source.getReadSetter().set(readable -> read());
+        read();
+    }
+
+    private void read() {
+        try {
+            while (!over) {
+                buffer.clear();
+                int count = source.read(buffer);
+                if (count < 0) {
+                    finish();
+                    return;
+                } else if (count == 0) {
+                    source.resumeReads();
+                    return;
+                } else if (!discarding) {
+                    buffer.flip();
+                    listener.body(this, buffer);
+                }
+            }
+        } catch (IOException e) {
+            fail();
+        }
+    }
+
+    private void finish() {
+        over = true;
+        connection.getCloseSetter().set(null);
+        if (requestWritten && keepMillis > 0) {
+            // One turn later, so that bytes which follow the answer have closed the connection by then.
+            connection.getIoThread().execute(() -> connections.give(upstream, connection, keepMillis));
+        } else {
+            abort();
+        }
+        if (!discarding) {
+            listener.ended(this);
+        }
+    }
+
+    /** Lets a read that is under way see the end of the body first, since its end may be what closes the connection. */
+    private void failSoon() {
+        connection.getIoThread().execute(this::fail);
+    }
+
+    private void fail() {
+        if (!over) {
+            over = true;
+            abort();
+            if (!discarding) {
+                listener.broken(this);
+            }
+        }
+    }
+
+    /** Closes the connection's channel, since closing the connection itself first waits for the rest of the answer. */
+    private void abort() {
+        if (connection == null) {
+            return;
+        }
+        connection.getCloseSetter().set(null);
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Reads for how long the upstream keeps an idle connection, 0 if it closes this one. */
+    private static long keepMillis(HeaderMap headers) {
+        String close = headers.getFirst(Headers.CONNECTION);
+        if (close != null && close.equalsIgnoreCase("close")) {
+            return 0;
+        }
+        String keep = headers.getFirst(Headers.KEEP_ALIVE);
+        int at = keep == null ? -1 : keep.indexOf("timeout=");
+        if (at < 0) {
+            return UpstreamConnections.DEFAULT_KEEP_MS;
+        }
+        String seconds = keep.substring(at + "timeout=".length()).split("[,; ]", 2)[0];
+        return seconds.matches("\\d{1,6}") ? Long.parseLong(seconds) * SECOND_MS : UpstreamConnections.DEFAULT_KEEP_MS;
+    }
+
+    private static ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed, Runnable failed) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                completed.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                failed.run();
+            }
+        };
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/internal/ini/Units.java
+++ b/org.cuminspur/src/org/cuminspur/internal/ini/Units.java
@@ -1,5 +1,6 @@
 package org.cuminspur.internal.ini;
 
+import java.math.BigDecimal;
 import java.util.List;
 
 /** Reads numbers with units; stateless and thread-safe. */
@@ -41,6 +42,8 @@
                 .orElseThrow(() -> new IllegalArgumentException(text));
         String digits =
                 text.substring(0, text.length() - unit.suffix().length()).strip();
-        return Math.multiplyExact(Long.parseLong(digits), unit.factor());
+        return new BigDecimal(digits)
+                .multiply(BigDecimal.valueOf(unit.factor()))
+                .longValueExact();
     }
 }
--- a/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
+++ b/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
@@ -25,6 +25,9 @@
      */
     record Refused(boolean notRun, long retryAfterMillis) implements AttemptEvent {}
 
+    /** The upstream ran the request and answered that it failed, with a status of 500 or more. */
+    record Failed() implements AttemptEvent {}
+
     /**
      * The answer broke off after it began.
      *
--- a/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
+++ b/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
@@ -17,14 +17,15 @@
     public static final int MAX_ATTEMPTS = 3;
 
     private final RetryTerms terms;
-    private final RetryBudget budget;
+    private final RetryPermits budget;
     private final Clock clock;
     private int attempts;
+    private int runs;
     private boolean mayHaveRun;
     private boolean relaysRefusal;
     private Refusal last = Refusal.of(ErrorKind.NO_UPSTREAM);
 
-    public RequestAttempts(RetryTerms terms, RetryBudget budget, Clock clock) {
+    public RequestAttempts(RetryTerms terms, RetryPermits budget, Clock clock) {
         this.terms = terms;
         this.budget = budget;
         this.clock = clock;
@@ -58,6 +59,8 @@
             return refused(refused);
         } else if (event instanceof AttemptEvent.Cut cut) {
             return cut(cut);
+        } else if (event instanceof AttemptEvent.Failed) {
+            return failedAnswer();
         }
         return answered(event);
     }
@@ -74,6 +77,17 @@
         return new NextStep.Finish();
     }
 
+    /** The upstream's own failure goes to the caller unless another upstream may do better. */
+    private NextStep failedAnswer() {
+        boolean earlierMayHaveRun = mayHaveRun;
+        note(Refusal.of(ErrorKind.UPSTREAM_BROKE));
+        if (terms.idempotent() && mayRetry()) {
+            return new NextStep.Send();
+        }
+        relaysRefusal = terms.idempotent() || !earlierMayHaveRun;
+        return new NextStep.Relay();
+    }
+
     private NextStep timedOut() {
         note(Refusal.of(ErrorKind.DEADLINE_AFTER_SEND));
         return new NextStep.Refuse(last);
@@ -102,6 +116,7 @@
 
     private NextStep cut(AttemptEvent.Cut cut) {
         mayHaveRun = true;
+        runs++;
         boolean resume = cut.resumable() && mayRetry();
         return resume ? new NextStep.Resume() : new NextStep.BreakOff(Refusal.of(ErrorKind.UPSTREAM_BROKE));
     }
@@ -113,10 +128,14 @@
             last = refusal;
         }
         mayHaveRun |= !notRun;
+        runs += notRun ? 0 : 1;
     }
 
     private boolean mayRetry() {
-        boolean allowed = (terms.idempotent() || !mayHaveRun) && attempts < MAX_ATTEMPTS && !expired();
+        boolean allowed = (terms.idempotent() || !mayHaveRun)
+                && attempts < MAX_ATTEMPTS
+                && runs < terms.maxRuns()
+                && !expired();
         if (!allowed || !budget.take()) {
             return false;
         }
--- a/org.cuminspur/src/org/cuminspur/retry/RetryBudget.java
+++ b/org.cuminspur/src/org/cuminspur/retry/RetryBudget.java
@@ -8,7 +8,7 @@
  * <p>Thread-safe. Over any period, retries are at most {@link #MAX_RETRIES_SAVED} plus the retries earned by the
  * successes of the period.
  */
-public final class RetryBudget {
+public final class RetryBudget implements RetryPermits {
     /** Retries earned by one success, unless a budget is made with another number. */
     public static final double RETRIES_PER_SUCCESS = 0.5;
 
@@ -34,13 +34,13 @@
         unitsPerSuccess = (int) (retriesPerSuccess * UNITS_PER_RETRY);
     }
 
-    /** Takes one retry from the budget; returns whether there was one. */
+    @Override
     public boolean take() {
         int before = units.getAndUpdate(held -> held >= UNITS_PER_RETRY ? held - UNITS_PER_RETRY : held);
         return before >= UNITS_PER_RETRY;
     }
 
-    /** Counts a request that was served whole. */
+    @Override
     public void succeeded() {
         units.updateAndGet(held -> Math.min(MAX_UNITS, held + unitsPerSuccess));
     }
--- a/org.cuminspur/src/org/cuminspur/retry/RetryTerms.java
+++ b/org.cuminspur/src/org/cuminspur/retry/RetryTerms.java
@@ -5,5 +5,11 @@
  *
  * @param idempotent whether it may be sent again although it may have run
  * @param deadlineMillis when its answer must be whole
+ * @param maxRuns upstreams that may run it, at least 1
  */
-public record RetryTerms(boolean idempotent, long deadlineMillis) {}
+public record RetryTerms(boolean idempotent, long deadlineMillis, int maxRuns) {
+    /** Allows as many runs as attempts. */
+    public RetryTerms(boolean idempotent, long deadlineMillis) {
+        this(idempotent, deadlineMillis, RequestAttempts.MAX_ATTEMPTS);
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/ColdShare.java
@@ -0,0 +1,43 @@
+package org.cuminspur.traffic;
+
+import java.util.List;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * Divides the rate that a cold upstream bears among the instances of the fleet; stateless and thread-safe.
+ *
+ * <p>The shares of all instances sum to no more than the rate. Where a share would be below one request a second, the
+ * upstream's rendezvous order of the instances names the few that may send one.
+ */
+final class ColdShare {
+    /** Part of the rate that is given out; the rest covers requests that arrive bunched after an uneven delay. */
+    private static final double GIVEN_OUT = 0.8;
+
+    private ColdShare() {}
+
+    /** Returns the requests that an instance may send to a cold upstream within any second. */
+    static int perSecond(
+            UpstreamId upstream, InstanceId self, List<InstanceId> fleet, ServiceTerms terms, TrafficBounds bounds) {
+        int whole = whole(terms, bounds);
+        int instances = Math.max(1, fleet.size());
+        int even = whole / instances;
+        int left = whole - even * instances;
+        return rank(upstream, self, fleet) < left ? even + 1 : even;
+    }
+
+    /** Returns the requests that all instances together may send within any second. */
+    static int whole(ServiceTerms terms, TrafficBounds bounds) {
+        return (int) (GIVEN_OUT * (terms.warmupPerSecond() * bounds.coldOverage() + bounds.coldSlack()));
+    }
+
+    private static long rank(UpstreamId upstream, InstanceId self, List<InstanceId> fleet) {
+        long node = Rendezvous.hash(upstream.value());
+        long own = Rendezvous.mix(node, Rendezvous.hash(self.value()));
+        return fleet.stream()
+                .mapToLong(other -> Rendezvous.mix(node, Rendezvous.hash(other.value())))
+                .filter(hash -> Long.compareUnsigned(hash, own) > 0)
+                .count();
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -0,0 +1,268 @@
+package org.cuminspur.traffic;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cuminspur.event.EventSink;
+import org.cuminspur.store.Store;
+import org.cuminspur.store.StoreEntry;
+import org.cuminspur.store.StoreFault;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.time.Clock;
+import org.cuminspur.time.Timer;
+
+/**
+ * Keeps a view of the fleet current from the platform's store.
+ *
+ * <p>Used on the timer's thread only, but for {@link #confirmSoon}. One watch brings changes; since a watch that is
+ * quiet proves nothing, a small read at intervals tells the store's revision, and all is read again if the watch is
+ * behind it. Changes older than what was read before are ignored, so nothing goes back.
+ */
+public final class FleetFeed {
+    /** Time between confirmations; a third of the shortest bound that rests on them, which is 2 s or more. */
+    private static final long CONFIRM_EVERY_MS = 1_000;
+
+    /** Time that the watch is given to bring what a confirmation has seen; some round trips to the store. */
+    private static final long WATCH_BEHIND_MS = 150;
+
+    /** First pause after a failed call, doubled up to the longest. */
+    private static final long FIRST_RETRY_MS = 200;
+
+    private static final long LONGEST_RETRY_MS = 800;
+
+    /** The store counts as away if nothing was heard for this long; an entry lapses after three seconds or more. */
+    private static final long AWAY_AFTER_MS = 1_500;
+
+    /** What the feed needs from its process; immutable. */
+    public record Context(Clock clock, Timer timer, Freshness freshness, TrafficBounds bounds, EventSink events) {}
+
+    private final Store store;
+    private final FleetDecoder decoder;
+    private final String probeKey;
+    private final Context context;
+    private final Consumer<FleetView> publish;
+    private final FleetDirectory directory = new FleetDirectory();
+    private final Map<String, Long> known = new HashMap<>();
+    private long appliedRevision;
+    private long loadedRevision;
+    private long lastHeardMillis;
+    private long returnedMillis = Long.MIN_VALUE;
+    private long retryMillis = FIRST_RETRY_MS;
+    private boolean away;
+    private boolean watching;
+    private boolean loading;
+    private boolean confirming;
+
+    /**
+     * Makes a feed.
+     *
+     * @param probeKey key whose read serves as confirmation
+     * @param publish receives each new view
+     */
+    public FleetFeed(
+            Store store, FleetDecoder decoder, String probeKey, Context context, Consumer<FleetView> publish) {
+        this.store = store;
+        this.decoder = decoder;
+        this.probeKey = probeKey;
+        this.context = context;
+        this.publish = publish;
+        this.lastHeardMillis = context.clock().millis();
+    }
+
+    /** Starts to read. */
+    public void start() {
+        context.timer().after(0, this::load);
+        context.timer().after(CONFIRM_EVERY_MS, this::confirmRegularly);
+    }
+
+    /** Asks for a confirmation at once; may be called on any thread. */
+    public void confirmSoon() {
+        context.timer().after(0, this::confirm);
+    }
+
+    private void confirmRegularly() {
+        expire();
+        confirm();
+        context.timer().after(CONFIRM_EVERY_MS, this::confirmRegularly);
+    }
+
+    private void confirm() {
+        if (confirming || loading) {
+            return;
+        }
+        confirming = true;
+        Freshness.Moment began = context.freshness().now();
+        store.range(probeKey, reply -> onThread(() -> confirmed(began, reply)));
+    }
+
+    private void confirmed(Freshness.Moment began, Either<StoreFault, StoreView> reply) {
+        confirming = false;
+        if (reply.isLeft()) {
+            failed(this::confirm);
+            return;
+        }
+        heard();
+        long revision = reply.get().revision();
+        if (revision <= appliedRevision) {
+            context.freshness().confirm(began);
+        } else {
+            context.timer().after(WATCH_BEHIND_MS, () -> caughtUp(began, revision));
+        }
+    }
+
+    private void caughtUp(Freshness.Moment began, long revision) {
+        if (revision <= appliedRevision) {
+            context.freshness().confirm(began);
+        } else {
+            context.events().emit("watch-behind", "revision", revision, "applied", appliedRevision);
+            load();
+        }
+    }
+
+    private void load() {
+        if (loading) {
+            return;
+        }
+        loading = true;
+        Freshness.Moment began = context.freshness().now();
+        store.range("", reply -> onThread(() -> loaded(began, reply)));
+    }
+
+    private void loaded(Freshness.Moment began, Either<StoreFault, StoreView> reply) {
+        loading = false;
+        if (reply.isLeft()) {
+            failed(this::load);
+            return;
+        }
+        heard();
+        StoreView view = reply.get();
+        if (view.revision() >= loadedRevision) {
+            replace(view);
+            context.freshness().confirm(began);
+        }
+        watch();
+    }
+
+    private void replace(StoreView view) {
+        Set<String> gone = new HashSet<>(known.keySet());
+        view.entries().forEach(entry -> gone.remove(entry.key()));
+        gone.removeIf(key -> known.get(key) > view.revision());
+        boolean changed = gone.stream()
+                .map(key -> apply(new StoreEntry(key, "", view.revision())))
+                .reduce(false, Boolean::logicalOr);
+        loadedRevision = view.revision();
+        appliedRevision = Math.max(appliedRevision, view.revision());
+        publishIf(takeAll(view.entries()) | changed);
+    }
+
+    private void watch() {
+        if (!watching) {
+            watching = true;
+            store.watch("", appliedRevision, view -> onThread(() -> changed(view)), () -> onThread(this::watchEnded));
+        }
+    }
+
+    private void changed(StoreView view) {
+        List<StoreEntry> newer = view.entries().stream()
+                .filter(entry -> entry.modRevision() > loadedRevision)
+                .toList();
+        appliedRevision = Math.max(appliedRevision, view.revision());
+        publishIf(takeAll(newer));
+    }
+
+    private void watchEnded() {
+        watching = false;
+        context.events().emit("watch-ended", "applied", appliedRevision);
+        load();
+    }
+
+    private boolean takeAll(List<StoreEntry> entries) {
+        return entries.stream()
+                .filter(entry -> known.getOrDefault(entry.key(), 0L) < entry.modRevision())
+                .map(this::apply)
+                .reduce(false, Boolean::logicalOr);
+    }
+
+    private boolean apply(StoreEntry entry) {
+        if (entry.value().isEmpty()) {
+            known.remove(entry.key());
+        } else {
+            known.put(entry.key(), entry.modRevision());
+        }
+        FleetFact fact = decoder.decode(entry);
+        if (fact instanceof FleetFact.Malformed malformed) {
+            context.events()
+                    .emit(
+                            "entry-ignored",
+                            "key",
+                            entry.key(),
+                            "revision",
+                            entry.modRevision(),
+                            "reason",
+                            malformed.reason());
+            return take(decoder.decode(new StoreEntry(entry.key(), "", entry.modRevision())), entry);
+        }
+        return take(fact, entry);
+    }
+
+    private boolean take(FleetFact fact, StoreEntry entry) {
+        long now = context.clock().millis();
+        boolean changed = directory.take(fact, now, keepLapsedUntil(now));
+        if (changed) {
+            BeliefEvents.emit(context.events(), fact, entry.modRevision());
+        }
+        return changed;
+    }
+
+    private long keepLapsedUntil(long now) {
+        if (away || now - lastHeardMillis > AWAY_AFTER_MS) {
+            return Long.MAX_VALUE;
+        }
+        long until = returnedMillis == Long.MIN_VALUE
+                ? now
+                : returnedMillis + context.bounds().lapseReturnMillis();
+        return Math.max(now, until);
+    }
+
+    private void heard() {
+        long now = context.clock().millis();
+        retryMillis = FIRST_RETRY_MS;
+        if (away || now - lastHeardMillis > AWAY_AFTER_MS) {
+            returnedMillis = now;
+            long until = now + context.bounds().lapseReturnMillis();
+            directory.endLapse(until);
+            context.timer().after(until - now, this::expire);
+            context.events().emit("dependency-regained", "dependency", "store", "silentMillis", now - lastHeardMillis);
+        }
+        away = false;
+        lastHeardMillis = now;
+    }
+
+    private void failed(Runnable again) {
+        long now = context.clock().millis();
+        if (!away && now - lastHeardMillis > AWAY_AFTER_MS) {
+            away = true;
+            context.events().emit("dependency-lost", "dependency", "store", "silentMillis", now - lastHeardMillis);
+        }
+        context.timer().after(retryMillis, again);
+        retryMillis = Math.min(LONGEST_RETRY_MS, retryMillis * 2);
+    }
+
+    private void expire() {
+        publishIf(directory.expire(context.clock().millis()));
+    }
+
+    private void publishIf(boolean changed) {
+        if (changed) {
+            publish.accept(directory.view());
+        }
+    }
+
+    private void onThread(Runnable action) {
+        context.timer().after(0, action);
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetRetryBudget.java
@@ -0,0 +1,54 @@
+package org.cuminspur.traffic;
+
+import org.cuminspur.retry.RetryPermits;
+import org.cuminspur.time.Clock;
+
+/**
+ * Bounds this instance's retries to a service, so that those of the whole fleet stay within its bound.
+ *
+ * <p>Not thread-safe. Within any window, retries are at most the instance's own requests times the ratio, plus an even
+ * part of the slack that all instances share. No message between instances is needed for it.
+ */
+public final class FleetRetryBudget implements RetryPermits {
+    /** Part of the bound that is used; instances count their windows at other moments than the fleet as a whole. */
+    private static final double USED = 0.8;
+
+    private static final int FIRST_CAPACITY = 64;
+
+    private final TrafficBounds bounds;
+    private final Clock clock;
+    private final SlidingCount requests;
+    private final SlidingCount retries;
+    private int instances = 1;
+
+    public FleetRetryBudget(TrafficBounds bounds, Clock clock) {
+        this.bounds = bounds;
+        this.clock = clock;
+        this.requests = new SlidingCount(bounds.retryWindowMillis(), FIRST_CAPACITY);
+        this.retries = new SlidingCount(bounds.retryWindowMillis(), FIRST_CAPACITY);
+    }
+
+    /** Sets the number of instances that share the slack. */
+    public void share(int fleetSize) {
+        instances = Math.max(1, fleetSize);
+    }
+
+    /** Counts a request of a caller. */
+    public void requested() {
+        requests.add(clock.millis());
+    }
+
+    @Override
+    public boolean take() {
+        long now = clock.millis();
+        double bound = USED * (bounds.retryRatio() * requests.count(now) + bounds.retrySlack() / instances);
+        if (retries.count(now) + 1 > bound) {
+            return false;
+        }
+        retries.add(now);
+        return true;
+    }
+
+    @Override
+    public void succeeded() {}
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/Freshness.java
@@ -0,0 +1,56 @@
+package org.cuminspur.traffic;
+
+import org.cuminspur.time.Clock;
+
+/**
+ * Knows up to when this instance's view of the store is certain to be current.
+ *
+ * <p>Thread-safe. The age of a confirmation is the larger of what two clocks tell: the steady clock stands still while
+ * the machine is suspended, and the wall clock may be set back. A wall clock that falls behind the steady one proves
+ * nothing, so the view then counts as stale until it is confirmed anew.
+ */
+public final class Freshness {
+    /** Difference of the two clocks that counts as a step; more than they drift apart within one confirmation. */
+    private static final long STEP_MS = 250;
+
+    /** A moment on both clocks; immutable. */
+    public record Moment(long steadyMillis, long wallMillis) {}
+
+    private final Clock steady;
+    private final Clock wall;
+    private volatile Moment confirmed;
+
+    /**
+     * Makes one that knows nothing.
+     *
+     * @param steady never goes back, but may stand still
+     * @param wall the time of day, which may jump
+     */
+    public Freshness(Clock steady, Clock wall) {
+        this.steady = steady;
+        this.wall = wall;
+    }
+
+    /** Returns the present moment, to be taken before a read of the store begins. */
+    public Moment now() {
+        return new Moment(steady.millis(), wall.millis());
+    }
+
+    /** Notes that the view holds all changes that the store had acknowledged at a moment. */
+    public synchronized void confirm(Moment readBegan) {
+        if (confirmed == null || readBegan.steadyMillis() >= confirmed.steadyMillis()) {
+            confirmed = readBegan;
+        }
+    }
+
+    /** Returns the age of the newest confirmation in milliseconds, or {@link Long#MAX_VALUE} if none is certain. */
+    public long ageMillis() {
+        Moment last = confirmed;
+        if (last == null) {
+            return Long.MAX_VALUE;
+        }
+        long steadyAge = steady.millis() - last.steadyMillis();
+        long wallAge = wall.millis() - last.wallMillis();
+        return wallAge < steadyAge - STEP_MS ? Long.MAX_VALUE : Math.max(steadyAge, wallAge);
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/InstanceRegistration.java
@@ -0,0 +1,87 @@
+package org.cuminspur.traffic;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.cuminspur.event.EventSink;
+import org.cuminspur.store.Store;
+import org.cuminspur.store.StoreFault;
+import org.cuminspur.store.Txn;
+import org.cuminspur.time.Timer;
+
+/**
+ * Keeps one key of this instance in the store while it runs, by which the fleet counts its instances.
+ *
+ * <p>Used on the timer's thread only. The key lives by a lease; where the lease has lapsed, it is written anew.
+ */
+public final class InstanceRegistration {
+    /** Time to live of the lease; three renewals may be lost. */
+    private static final long LEASE_SECONDS = 12;
+
+    private static final long RENEW_EVERY_MS = LEASE_SECONDS * 1_000 / 4;
+
+    /** Pause after a failed call; a start must be known to the fleet within a few seconds. */
+    private static final long RETRY_MS = 1_000;
+
+    private final Store store;
+    private final String key;
+    private final String value;
+    private final Timer timer;
+    private final EventSink events;
+    private boolean stopped;
+
+    public InstanceRegistration(Store store, String key, String value, Timer timer, EventSink events) {
+        this.store = store;
+        this.key = key;
+        this.value = value;
+        this.timer = timer;
+        this.events = events;
+    }
+
+    /** Registers and renews from now on. */
+    public void start() {
+        store.grantLease(LEASE_SECONDS, reply -> timer.after(0, () -> granted(reply)));
+    }
+
+    /** Stops renewing; the key goes when its lease ends. */
+    public void stop() {
+        stopped = true;
+    }
+
+    private void granted(Either<StoreFault, Long> reply) {
+        if (reply.isLeft()) {
+            again("grant", reply.getLeft());
+            return;
+        }
+        long lease = reply.get();
+        Txn write = new Txn(List.of(), List.of(new Txn.Put(key, value, lease)), List.of());
+        store.commit(write, done -> timer.after(0, () -> {
+            if (done.isLeft() || !done.get().succeeded()) {
+                again("write", done.isLeft() ? done.getLeft() : StoreFault.NOT_DONE);
+            } else {
+                events.emit("instance-registered", "key", key, "lease", lease);
+                timer.after(RENEW_EVERY_MS, () -> renew(lease));
+            }
+        }));
+    }
+
+    private void renew(long lease) {
+        if (!stopped) {
+            store.keepAlive(lease, reply -> timer.after(0, () -> renewed(lease, reply)));
+        }
+    }
+
+    private void renewed(long lease, Either<StoreFault, Long> reply) {
+        if (reply.isRight() && reply.get() <= 0) {
+            start();
+        } else {
+            timer.after(reply.isLeft() ? RETRY_MS : RENEW_EVERY_MS, () -> renew(lease));
+        }
+    }
+
+    private void again(String step, StoreFault fault) {
+        events.emit("registration-failed", "step", step, "fault", fault.name());
+        if (!stopped) {
+            timer.after(RETRY_MS, this::start);
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -0,0 +1,132 @@
+package org.cuminspur.traffic;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * Chooses the upstream for a request.
+ *
+ * <p>Not thread-safe; used on the traffic thread. Requests with the same shared prompt go to the same upstream on every
+ * instance, in the rendezvous order of the prompt, until it holds more than its part of the load; then to the next one
+ * in that order, which is again the same everywhere. Other requests go to the least loaded, the own failure domain
+ * first. A cold upstream never gets more than its rate, whatever else is left.
+ */
+public final class PromptPlacement {
+    /** Part of the bound on load that placement uses; reports are a second old. */
+    private static final double USED_FACTOR = 0.75;
+
+    /** Load that every upstream may hold whatever the mean is, so that a quiet service keeps its caches. */
+    private static final double LOAD_SLACK = 2;
+
+    /** Requests in progress that a shorter way is worth; about a quarter of a small upstream's slots. */
+    private static final double OTHER_DOMAIN_COST = 1.2;
+
+    /** Silence that makes an upstream doubtful; far above a first token's usual time, far below a caller's patience. */
+    private static final long SILENT_MS = 900;
+
+    /** A failure rate this far above the mean of the service is no chance. */
+    private static final double FAILURE_EXCESS = 0.3;
+
+    /**
+     * What placement needs to know of a request; immutable.
+     *
+     * @param sharedKey key of the prompt's shared parts, if it has any
+     * @param tried upstreams that it was sent to already
+     */
+    public record Demand(OptionalLong sharedKey, Set<UpstreamId> tried) {}
+
+    private final FailureDomainId domain;
+    private final double loadFactor;
+    private final DoubleSupplier random;
+
+    /**
+     * Makes a placement.
+     *
+     * @param domain this instance's failure domain
+     * @param loadFactor multiple of the mean load that no upstream is to exceed
+     * @param random uniform from 0 to 1, breaks ties
+     */
+    public PromptPlacement(FailureDomainId domain, double loadFactor, DoubleSupplier random) {
+        this.domain = domain;
+        this.loadFactor = loadFactor;
+        this.random = random;
+    }
+
+    /** Returns the upstream to send a request to, empty if none may take it now. */
+    public Optional<UpstreamState> choose(List<UpstreamState> service, Demand demand, long nowMillis) {
+        List<UpstreamState> open = service.stream()
+                .filter(state -> state.open() && !demand.tried().contains(state.id()))
+                .filter(state -> state.withinColdRate(nowMillis))
+                .toList();
+        double meanFailures = open.stream()
+                .mapToDouble(state -> state.health().failureRate())
+                .average()
+                .orElse(0);
+        List<UpstreamState> sound = open.stream()
+                .filter(state -> sound(state, meanFailures, nowMillis))
+                .toList();
+        if (sound.isEmpty()) {
+            return open.stream().min(Comparator.comparingLong(state -> state.silentMillis(nowMillis)));
+        }
+        Loads loads = new Loads(sound, nowMillis);
+        return demand.sharedKey().isPresent()
+                ? byPrompt(sound, demand.sharedKey().getAsLong(), loads)
+                : sound.stream().min(Comparator.comparingDouble(state -> cost(state, loads)));
+    }
+
+    private static boolean sound(UpstreamState state, double meanFailures, long nowMillis) {
+        return state.withinRate(nowMillis)
+                && state.health().admits(nowMillis)
+                && state.silentMillis(nowMillis) < SILENT_MS
+                && state.health().failureRate() < meanFailures + FAILURE_EXCESS;
+    }
+
+    private Optional<UpstreamState> byPrompt(List<UpstreamState> sound, long key, Loads loads) {
+        double limit = Math.max(1, USED_FACTOR * loadFactor) * loads.mean() + LOAD_SLACK;
+        return sound.stream()
+                .filter(state -> loads.of(state) <= limit)
+                .max(Comparator.comparingDouble(state -> Rendezvous.score(key, state.hash(), 1)))
+                .or(() -> sound.stream().min(Comparator.comparingDouble(loads::of)));
+    }
+
+    private double cost(UpstreamState state, Loads loads) {
+        boolean near = state.entry().domain().equals(domain);
+        return loads.of(state) + (near ? 0 : OTHER_DOMAIN_COST) + random.getAsDouble() / 2;
+    }
+
+    /** Estimates of the load that upstreams hold for all instances together; immutable. */
+    private static final class Loads {
+        private final long nowMillis;
+        private final double meanOthers;
+        private final double mean;
+
+        Loads(List<UpstreamState> states, long nowMillis) {
+            this.nowMillis = nowMillis;
+            double trust = states.stream()
+                    .mapToDouble(state -> state.reportTrust(nowMillis))
+                    .sum();
+            double others = states.stream()
+                    .mapToDouble(state -> state.reportTrust(nowMillis) * state.othersAtReport())
+                    .sum();
+            meanOthers = trust > 0 ? others / trust : 0;
+            mean = states.stream().mapToDouble(this::of).average().orElse(0);
+        }
+
+        /** An old report fades into the mean of the service. */
+        double of(UpstreamState state) {
+            double trust = state.reportTrust(nowMillis);
+            return state.inFlight() + trust * state.othersAtReport() + (1 - trust) * meanOthers;
+        }
+
+        double mean() {
+            return mean;
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptShape.java
@@ -0,0 +1,31 @@
+package org.cuminspur.traffic;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * What a request tells of its prompt; immutable.
+ *
+ * @param parts in the order they are read; the last one is the request's own
+ * @param promptTokens tokens to read, 0 if unknown
+ * @param maxOutputTokens tokens that it may generate, 0 if unknown
+ */
+public record PromptShape(List<PromptPart> parts, int promptTokens, int maxOutputTokens) {
+    /** A request that tells nothing. */
+    public static final PromptShape NONE = new PromptShape(List.of(), 0, 0);
+
+    public PromptShape {
+        parts = List.copyOf(parts);
+    }
+
+    /** Returns the key under which requests with the same shared parts meet, if there are any. */
+    public OptionalLong sharedKey() {
+        if (parts.size() < 2) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(parts.subList(0, parts.size() - 1).stream()
+                .mapToLong(PromptPart::hash)
+                .reduce(0, Rendezvous::mix));
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/SendHead.java
@@ -0,0 +1,16 @@
+package org.cuminspur.traffic;
+
+import java.util.Optional;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.UpstreamId;
+
+/**
+ * What an upstream is told beside the caller's own headers; immutable.
+ *
+ * @param leftMillis how long the answer is still of use
+ * @param target the only upstream that may run it, whatever process has its address by now
+ * @param urgency rank among the upstream's requests, 0 is the most urgent
+ * @param lastEventId the event after which a stream is to go on
+ */
+public record SendHead(
+        long leftMillis, UpstreamId target, Optional<AccountId> account, int urgency, Optional<String> lastEventId) {}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/SlidingCount.java
@@ -0,0 +1,50 @@
+package org.cuminspur.traffic;
+
+/**
+ * Counts events within the last stretch of time, exactly up to a capacity.
+ *
+ * <p>Not thread-safe. Times given never go back.
+ */
+final class SlidingCount {
+    private final long windowMillis;
+    private long[] times;
+    private int first;
+    private int size;
+
+    SlidingCount(long windowMillis, int initialCapacity) {
+        this.windowMillis = windowMillis;
+        this.times = new long[initialCapacity];
+    }
+
+    /** Counts an event. */
+    void add(long nowMillis) {
+        drop(nowMillis);
+        if (size == times.length) {
+            grow();
+        }
+        times[(first + size) % times.length] = nowMillis;
+        size++;
+    }
+
+    /** Returns the events of the window that ends now. */
+    int count(long nowMillis) {
+        drop(nowMillis);
+        return size;
+    }
+
+    private void drop(long nowMillis) {
+        while (size > 0 && times[first] <= nowMillis - windowMillis) {
+            first = (first + 1) % times.length;
+            size--;
+        }
+    }
+
+    private void grow() {
+        long[] larger = new long[times.length * 2];
+        for (int i = 0; i < size; i++) {
+            larger[i] = times[(first + i) % times.length];
+        }
+        times = larger;
+        first = 0;
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamBoard.java
@@ -0,0 +1,112 @@
+package org.cuminspur.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.UpstreamId;
+
+/**
+ * The upstreams that requests may be placed on, with this instance's counts of each.
+ *
+ * <p>Not thread-safe; used on the traffic thread. Counts of an upstream start anew when its process does.
+ */
+public final class UpstreamBoard {
+    /** Factor on an even part of the rate for warm upstreams: callers are not spread evenly over instances. */
+    private static final double WARM_UNEVENNESS = 1.6;
+
+    private static final int LEAST_WARM_SHARE = 3;
+
+    private final InstanceId self;
+    private final TrafficBounds bounds;
+    private final Consumer<UpstreamState> removed;
+    private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
+    private final Map<ServiceId, List<UpstreamState>> byService = new HashMap<>();
+    private FleetView view = FleetView.NONE;
+
+    /**
+     * Makes an empty board.
+     *
+     * @param removed receives each upstream that is gone or has started anew
+     */
+    public UpstreamBoard(InstanceId self, TrafficBounds bounds, Consumer<UpstreamState> removed) {
+        this.self = self;
+        this.bounds = bounds;
+        this.removed = removed;
+    }
+
+    /** Returns the view that the board was brought up to. */
+    public FleetView view() {
+        return view;
+    }
+
+    /** Returns the upstreams of a service, those that take no new work too. */
+    public List<UpstreamState> of(ServiceId service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Returns the state of an upstream, or null if it is unknown. */
+    public UpstreamState state(UpstreamId id) {
+        return states.get(id);
+    }
+
+    /** Returns how long upstreams of a service are cold after a start, 0 if they never are. */
+    public long warmupMillis(ServiceId service) {
+        ServiceTerms terms = terms(service);
+        return terms == null || !terms.canBeCold() ? 0 : terms.warmupMillis();
+    }
+
+    /** Brings the board up to a newer view. */
+    public void apply(FleetView newer, long nowMillis) {
+        view = newer;
+        states.values().removeIf(state -> {
+            UpstreamEntry entry = newer.upstreams().get(state.id());
+            boolean over = entry == null || !entry.sameRun(state.entry());
+            if (over) {
+                removed.accept(state);
+            }
+            return over;
+        });
+        newer.upstreams().values().forEach(entry -> take(entry, nowMillis));
+        byService.clear();
+        states.values().stream()
+                .sorted((a, b) -> a.id().compareTo(b.id()))
+                .forEach(state -> byService
+                        .computeIfAbsent(state.entry().service(), absent -> new ArrayList<>())
+                        .add(state));
+    }
+
+    private void take(UpstreamEntry entry, long nowMillis) {
+        UpstreamState state = states.computeIfAbsent(entry.id(), id -> new UpstreamState(entry, nowMillis));
+        if (!state.entry().equals(entry)) {
+            state.update(entry, nowMillis);
+        }
+        ServiceTerms terms = terms(entry.service());
+        boolean emptied = view.emptied().contains(entry.domain());
+        if (terms == null || !terms.canBeCold()) {
+            state.shares(Integer.MAX_VALUE, Integer.MAX_VALUE);
+        } else {
+            int cold = ColdShare.perSecond(entry.id(), self, view.instances(), terms, bounds);
+            state.shares(cold, warmShare(terms));
+            if (state.emptied() && !emptied) {
+                // A failure domain that was emptied comes back cold, perhaps before its entries say so.
+                state.suspectCold(nowMillis, terms.warmupMillis());
+            }
+        }
+        state.emptied(emptied);
+    }
+
+    private ServiceTerms terms(ServiceId service) {
+        return view.routes()
+                .map(routes -> routes.config().services().get(service))
+                .orElse(null);
+    }
+
+    private int warmShare(ServiceTerms terms) {
+        int instances = Math.max(1, view.instances().size());
+        return Math.max(LEAST_WARM_SHARE, (int) (WARM_UNEVENNESS * ColdShare.whole(terms, bounds) / instances));
+    }
+}
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -0,0 +1,157 @@
+package org.cuminspur.traffic;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * What this instance knows of one upstream: its entry, its load, and how its requests end.
+ *
+ * <p>Not thread-safe; used on the traffic thread. Counts belong to one start of the upstream's process.
+ */
+public final class UpstreamState {
+    /** After this time a reported load says nothing any more; a few times the lag of reports. */
+    private static final double REPORT_DECAY_MS = 3_000;
+
+    /** Time that an entry may be old when it arrives, added to how long the upstream is cold. */
+    private static final long ENTRY_LAG_MS = 1_000;
+
+    private static final long SECOND_MS = 1_000;
+    private static final int FIRST_CAPACITY = 16;
+
+    private final UpstreamHealth health = new UpstreamHealth();
+    private final SlidingCount sent = new SlidingCount(SECOND_MS, FIRST_CAPACITY);
+    private final Map<Object, Long> unanswered = new LinkedHashMap<>();
+    private final long hash;
+    private UpstreamEntry entry;
+    private boolean emptied;
+    private int coldShare;
+    private int warmShare;
+    private long coldUntil;
+    private int inFlight;
+    private double othersAtReport;
+    private int waitingAtReport;
+    private long reportedMillis = Long.MIN_VALUE;
+
+    UpstreamState(UpstreamEntry entry, long nowMillis) {
+        this.entry = entry;
+        this.hash = Rendezvous.hash(entry.id().value());
+        update(entry, nowMillis);
+    }
+
+    /** Returns what the upstream last said of itself. */
+    public UpstreamEntry entry() {
+        return entry;
+    }
+
+    public UpstreamId id() {
+        return entry.id();
+    }
+
+    /** Returns how the requests sent to it have ended. */
+    public UpstreamHealth health() {
+        return health;
+    }
+
+    /** Returns this instance's requests in progress there. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns whether it takes new work at all. */
+    public boolean open() {
+        return !entry.leaving() && !emptied;
+    }
+
+    /** Returns whether it is known to be cold. */
+    public boolean cold(long nowMillis) {
+        return nowMillis < coldUntil;
+    }
+
+    /** Notes that it may have started anew or lost its caches, without having said so. */
+    public void suspectCold(long nowMillis, long warmupMillis) {
+        coldUntil = Math.max(coldUntil, nowMillis + warmupMillis);
+    }
+
+    /** Counts a request that is sent; {@code request} is told from others by identity or equality. */
+    public void started(Object request, long nowMillis) {
+        inFlight++;
+        sent.add(nowMillis);
+        unanswered.put(request, nowMillis);
+    }
+
+    /** Notes that an answer began. */
+    public void answered(Object request) {
+        unanswered.remove(request);
+    }
+
+    /** Ends a request that was counted. */
+    public void ended(Object request) {
+        unanswered.remove(request);
+        inFlight--;
+    }
+
+    /** Takes the load that the upstream reports, which includes this instance's requests. */
+    public void report(int running, int waiting, long nowMillis) {
+        othersAtReport = Math.max(0, running + waiting - inFlight);
+        waitingAtReport = waiting;
+        reportedMillis = nowMillis;
+    }
+
+    /** Returns for how long the oldest request without any byte of an answer has waited, 0 if there is none. */
+    public long silentMillis(long nowMillis) {
+        return unanswered.isEmpty()
+                ? 0
+                : nowMillis - unanswered.values().iterator().next();
+    }
+
+    /** Returns how far the last report can still be believed, from 0 to 1. */
+    double reportTrust(long nowMillis) {
+        return reportedMillis == Long.MIN_VALUE ? 0 : Math.exp((reportedMillis - nowMillis) / REPORT_DECAY_MS);
+    }
+
+    /** Returns the requests of other instances that the last report told of. */
+    double othersAtReport() {
+        return othersAtReport;
+    }
+
+    /** Returns the requests that waited there for a slot, as far as is known. */
+    public double waiting(long nowMillis) {
+        return waitingAtReport * reportTrust(nowMillis);
+    }
+
+    /** Returns whether another request may be sent within this second. */
+    boolean withinRate(long nowMillis) {
+        return sent.count(nowMillis) < (cold(nowMillis) ? coldShare : warmShare);
+    }
+
+    /** Returns whether nothing but its being cold forbids another request now. */
+    boolean withinColdRate(long nowMillis) {
+        return !cold(nowMillis) || sent.count(nowMillis) < coldShare;
+    }
+
+    long hash() {
+        return hash;
+    }
+
+    void update(UpstreamEntry newer, long nowMillis) {
+        entry = newer;
+        if (newer.coldLeftMillis() > 0) {
+            coldUntil = Math.max(coldUntil, nowMillis + newer.coldLeftMillis() + ENTRY_LAG_MS);
+        }
+    }
+
+    void shares(int cold, int warm) {
+        coldShare = cold;
+        warmShare = warm;
+    }
+
+    void emptied(boolean now) {
+        emptied = now;
+    }
+
+    boolean emptied() {
+        return emptied;
+    }
+}
