Close idle connections of callers once the balancer has noticed a planned stop

Cause: answers after SIGTERM told callers to close, but a connection idle since before kept sending for the whole grace time, and its last request was cut. Ruled out: the answers' close header (was sent).

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
@@ -8,6 +8,8 @@
 final class StopState {
     private int inProgress;
     private volatile boolean stopping;
+    private volatile long unnoticedUntil = Long.MAX_VALUE;
+    private volatile long endMillis = Long.MAX_VALUE;
 
     synchronized void entered() {
         inProgress++;
@@ -22,10 +24,27 @@
         return stopping;
     }
 
-    void stop() {
+    /**
+     * Begins the stop.
+     *
+     * @param unnoticedUntil when the balancer sends no more callers here
+     * @param endMillis when requests still in progress are cut
+     */
+    void stop(long unnoticedUntil, long endMillis) {
+        this.unnoticedUntil = unnoticedUntil;
+        this.endMillis = endMillis;
         stopping = true;
     }
 
+    /**
+     * Returns whether a request is taken; one that comes late in a stop is taken only if it is sure to be finished.
+     *
+     * @param lastMillis when its answer must be whole
+     */
+    boolean takes(long arrivedMillis, long lastMillis) {
+        return arrivedMillis < unnoticedUntil || lastMillis <= endMillis;
+    }
+
     /** Waits until no request is in progress; returns how many still are. */
     synchronized int awaitEmpty(long untilNanos) throws InterruptedException {
         long leftMillis = (untilNanos - System.nanoTime()) / 1_000_000;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
@@ -35,6 +35,7 @@
         ByteBuffer buffer,
         Map<ServiceId, FleetRetryBudget> retryBudgets,
         ConfirmationQueue confirmations,
+        CallerConnections callers,
         StopState stop) {
     TrafficContext {
         retryBudgets = new HashMap<>(retryBudgets);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
@@ -42,6 +42,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long arrived = traffic.clock().millis();
+        traffic.callers().busy(exchange);
         MessageLimits limits = traffic.board()
                 .view()
                 .routes()
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -95,6 +95,7 @@
                 ByteBuffer.allocateDirect(BUFFER_BYTES),
                 Map.of(),
                 new ConfirmationQueue(freshness, clock, settings.bounds().revokeMillis(), confirmSoon),
+                new CallerConnections(),
                 new StopState());
         server = Undertow.builder()
                 .setWorker(worker)
@@ -125,10 +126,12 @@
     /** Stops as planned; blocks until all requests have ended or time is up, and returns how many were cut. */
     public int stop() {
         long began = System.nanoTime();
-        traffic.stop().stop();
+        long grace = traffic.bounds().graceMillis() - LEAVE_MS;
+        long now = traffic.clock().millis();
+        traffic.stop().stop(now + UNREADY_MS, now + grace);
         try {
             TimeUnit.MILLISECONDS.sleep(UNREADY_MS);
-            long grace = traffic.bounds().graceMillis() - LEAVE_MS;
+            thread.execute(this::closeIdle);
             return traffic.stop().awaitEmpty(began + TimeUnit.MILLISECONDS.toNanos(grace));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -136,6 +139,12 @@
         }
     }
 
+    /** Closes connections of callers as they fall idle; a caller finds another instance for its next request. */
+    private void closeIdle() {
+        traffic.callers().closeIdle();
+        thread.executeAfter(this::closeIdle, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void tick() {
         traffic.confirmations().flush();
         traffic.connections().sweep();
