--- a/org.cuminspur.router.test/tst/org/cuminspur/router/BadInputTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/BadInputTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import org.cuminspur.standin.raw.RawUpstream;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/ClientConnectionTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/ClientConnectionTest.java
@@ -11,6 +11,7 @@
 import org.cuminspur.http.client.HttpCall;
 import org.cuminspur.http.client.HttpClient;
 import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.standin.raw.RawUpstream;
 import org.cuminspur.time.Clock;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.DataProvider;
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/WholeAnswerTest.java
@@ -11,6 +11,7 @@
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.HttpAnswer;
 import org.cuminspur.http.client.HttpStream;
+import org.cuminspur.standin.raw.RawUpstream;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
--- a/org.cuminspur.router/src/org/cuminspur/router/JsonEventLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/JsonEventLog.java
@@ -4,14 +4,15 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.EncoderBase;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 import org.cuminspur.event.EventSink;
 import org.cuminspur.time.Clock;
@@ -104,9 +105,8 @@
     }
 
     private static AsyncAppender queue(LoggerContext context) {
-        PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+        LineEncoder encoder = new LineEncoder();
         encoder.setContext(context);
-        encoder.setPattern("%msg%n");
         encoder.start();
         ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
         console.setContext(context);
@@ -121,4 +121,24 @@
         queue.start();
         return queue;
     }
+
+    /** Writes messages as they are; stateless. A pattern would be parsed at each start. */
+    private static final class LineEncoder extends EncoderBase<ILoggingEvent> {
+        private static final byte[] NOTHING = new byte[0];
+
+        @Override
+        public byte[] headerBytes() {
+            return NOTHING;
+        }
+
+        @Override
+        public byte[] encode(ILoggingEvent event) {
+            return (event.getFormattedMessage() + "\n").getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public byte[] footerBytes() {
+            return NOTHING;
+        }
+    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
@@ -14,7 +14,10 @@
  */
 final class ConfirmationQueue {
     /** Longest wait; the store answers in milliseconds, and a caller may do better at another instance. */
-    private static final long LONGEST_WAIT_MS = 250;
+    static final long CONFIRM_WAIT_MS = 250;
+
+    /** Longest wait of a request that comes while the process starts, which reads the store within half a second. */
+    static final long START_WAIT_MS = 1_000;
 
     /** Part of the bound within which a view counts as current; the rest covers the way to the upstream. */
     private static final double USED = 0.85;
@@ -39,9 +42,9 @@
         return freshness.ageMillis() < limitMillis;
     }
 
-    /** Calls back once keys can be trusted, or in vain. */
-    void whenCurrent(Consumer<Boolean> then) {
-        queue.add(new Waiting(clock.millis() + LONGEST_WAIT_MS, then));
+    /** Calls back once keys can be trusted, or in vain after a time. */
+    void whenCurrent(long longestWaitMillis, Consumer<Boolean> then) {
+        queue.add(new Waiting(clock.millis() + longestWaitMillis, then));
         confirmSoon.run();
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -92,7 +92,9 @@
         boolean current = traffic.confirmations().current();
         if (!current && (found.isLeft() || found.get().keyed())) {
             if (mayWait) {
-                traffic.confirmations().whenCurrent(confirmed -> route(false));
+                boolean starting = traffic.board().view().routes().isEmpty();
+                long wait = starting ? ConfirmationQueue.START_WAIT_MS : ConfirmationQueue.CONFIRM_WAIT_MS;
+                traffic.confirmations().whenCurrent(wait, confirmed -> route(false));
             } else {
                 refuse(Refusal.of(ErrorKind.NOT_READY));
             }
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/RawUpstream.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
@@ -1,4 +1,4 @@
-package org.cuminspur.router;
+package org.cuminspur.standin.raw;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -19,13 +19,15 @@
 import java.util.stream.Stream;
 
 /**
- * An upstream that answers byte by byte as a test says, right or wrong; thread-safe.
+ * An upstream that answers byte by byte as a script says, right or wrong; thread-safe.
  *
  * <p>Every connection runs the script on a thread of its own until the script returns, then closes.
  */
-final class RawUpstream implements AutoCloseable {
+public final class RawUpstream implements AutoCloseable {
     /** What happens on a connection. */
-    interface Script {
+    @FunctionalInterface
+    public interface Script {
+        /** Runs until the connection is to be closed. */
         void run(Connection connection) throws IOException;
     }
 
@@ -37,7 +39,7 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
-    RawUpstream(Script script) {
+    public RawUpstream(Script script) {
         this.script = script;
         try {
             server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -47,21 +49,23 @@
         daemon(this::accept);
     }
 
-    int port() {
+    /** Returns the port that it listens on. */
+    public int port() {
         return server.getLocalPort();
     }
 
-    int connections() {
+    /** Returns how many connections were made to it. */
+    public int connections() {
         return connections.get();
     }
 
     /** Tells the test that something happened. */
-    void tell(String event) {
+    public void tell(String event) {
         events.add(event);
     }
 
     /** Waits for the next thing that the script told. */
-    String awaitEvent() {
+    public String awaitEvent() {
         try {
             return events.poll(SOCKET_TIMEOUT_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
@@ -107,9 +111,9 @@
     }
 
     /** One connection, seen from the upstream. */
-    record Connection(int number, InputStream in, OutputStream out) {
+    public record Connection(int number, InputStream in, OutputStream out) {
         /** Reads a request's head; returns it, empty at the end of the connection. */
-        String head() throws IOException {
+        public String head() throws IOException {
             StringBuilder head = new StringBuilder();
             for (int next = in.read(); next >= 0; next = in.read()) {
                 head.append((char) next);
@@ -121,27 +125,28 @@
         }
 
         /** Reads a whole request; returns its head. */
-        String request() throws IOException {
+        public String request() throws IOException {
             String head = head();
             Matcher length = LENGTH.matcher(head);
             in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
             return head;
         }
 
-        void send(String text) throws IOException {
+        /** Sends text as it is. */
+        public void send(String text) throws IOException {
             out.write(text.getBytes(StandardCharsets.UTF_8));
             out.flush();
         }
 
         /** Sends whole answers with a length, all at once. */
-        void answer(String... bodies) throws IOException {
+        public void answer(String... bodies) throws IOException {
             send(Stream.of(bodies)
                     .map(body -> "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                     .collect(Collectors.joining()));
         }
 
         /** Waits until the other side closes. */
-        void awaitClose() throws IOException {
+        public void awaitClose() throws IOException {
             while (in.read() >= 0) {
                 // Whatever still comes is of no interest.
             }
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/TrainRouter.java
@@ -0,0 +1,32 @@
+package org.cuminspur.standin.users;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cuminspur.http.LogSetup;
+
+/**
+ * Runs a router's command against stand-ins for a moment, so that it loads the classes that its class-data archive is
+ * to hold; exits with 1 if the router did not serve.
+ */
+public final class TrainRouter {
+    private static final int REQUESTS = 40;
+    private static final int FAILED = 1;
+
+    private TrainRouter() {}
+
+    /** Takes the command to run. */
+    public static void main(String[] command) throws IOException, InterruptedException {
+        LogSetup.use("standin-logback.xml");
+        boolean served;
+        try (UsersTrial trial = new UsersTrial(List.of(command))) {
+            trial.start();
+            trial.awaitServing();
+            trial.publish();
+            served = IntStream.range(0, REQUESTS)
+                    .allMatch(number -> trial.served(number % 2 == 0 ? UsersTrial.CHAT : UsersTrial.BOOK));
+            trial.stop();
+        }
+        System.exit(served ? 0 : FAILED);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersServer.java
@@ -0,0 +1,152 @@
+package org.cuminspur.standin.users;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminspur.standin.raw.RawUpstream;
+
+/**
+ * A stand-in of a server on the users' platform, which answers as it is told; thread-safe.
+ *
+ * <p>Every request that it runs is recorded. A request that names another server is answered as the users say.
+ */
+public final class UsersServer implements AutoCloseable {
+    /** Answers one request on its connection; returns whether the connection stays open. */
+    @FunctionalInterface
+    public interface Behaviour {
+        boolean answer(RawUpstream.Connection connection, Request request) throws IOException;
+    }
+
+    /** A request that came, by its head; immutable. */
+    public record Request(String head) {
+        /** Returns the value of a header, empty if it is absent. */
+        public String header(String name) {
+            String wanted = name.toLowerCase(Locale.ROOT) + ":";
+            return head.lines()
+                    .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(wanted))
+                    .map(line -> line.substring(wanted.length()).strip())
+                    .findFirst()
+                    .orElse("");
+        }
+
+        /** Returns the request's id. */
+        public String id() {
+            return header("Attempt-Id");
+        }
+
+        /** Returns the path, with the query. */
+        public String path() {
+            return head.split(" ", 3)[1];
+        }
+    }
+
+    private final String id;
+    private final RawUpstream server;
+    private final List<Request> runs = new CopyOnWriteArrayList<>();
+    private volatile Behaviour behaviour;
+
+    public UsersServer(String id, Behaviour behaviour) {
+        this.id = id;
+        this.behaviour = behaviour;
+        server = new RawUpstream(this::serve);
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Returns the requests that were handed to the behaviour, in order. */
+    public List<Request> runs() {
+        return List.copyOf(runs);
+    }
+
+    /** Returns how many connections were made to it. */
+    public int connections() {
+        return server.connections();
+    }
+
+    /** Sets what it does from now on. */
+    public void behave(Behaviour next) {
+        behaviour = next;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    /** Answers with a body of known length. */
+    public static Behaviour plain(String body) {
+        return (connection, request) -> {
+            connection.send(head(200, request, "Content-Length: " + body.length() + "\r\n") + body);
+            return true;
+        };
+    }
+
+    /** Answers with a failure that was run. */
+    public static Behaviour failing(int status) {
+        return (connection, request) -> {
+            connection.send(head(status, request, "Content-Length: 3\r\n") + "bad");
+            return true;
+        };
+    }
+
+    /** Answers that the request was not run, since the server is full. */
+    public static Behaviour full() {
+        return (connection, request) -> {
+            connection.send("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + request.id()
+                    + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        };
+    }
+
+    /** Answers with a stream of events, which goes on where the request asks. */
+    public static Behaviour stream(int events) {
+        return (connection, request) -> {
+            String after = request.header("Last-Event-Id");
+            int first = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
+            connection.send(head(200, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+            for (int event = first; event <= events; event++) {
+                chunk(connection, event(event));
+            }
+            connection.send("0\r\n\r\n");
+            return true;
+        };
+    }
+
+    /** Returns an event of a stream. */
+    public static String event(int number) {
+        return "id: " + number + "\ndata: token-" + number + "\n\n";
+    }
+
+    /** Sends a chunk of a body without a known length. */
+    public static void chunk(RawUpstream.Connection connection, String text) throws IOException {
+        connection.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    /** Returns the head of an answer to a request, signed. */
+    public static String head(int status, Request request, String headers) {
+        return "HTTP/1.1 " + status + " Any\r\nAttempt-Id: " + request.id() + "\r\nResponse-Signature: signed\r\n"
+                + "Server-Load: 1,0,8\r\n" + headers + "\r\n";
+    }
+
+    private void serve(RawUpstream.Connection connection) throws IOException {
+        String head = connection.request();
+        while (!head.isEmpty()) {
+            Request request = new Request(head);
+            String target = request.header("Target-Instance");
+            if (!target.isEmpty() && !target.equals(id)) {
+                connection.send("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + id + "\r\nAttempt-Id: "
+                        + request.id() + "\r\nContent-Length: 0\r\n\r\n");
+            } else {
+                runs.add(request);
+                if (!behaviour.answer(connection, request)) {
+                    return;
+                }
+            }
+            head = connection.request();
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersSettings.java
@@ -0,0 +1,32 @@
+package org.cuminspur.standin.users;
+
+/** Writes the settings that the users' platform fills in for an instance; stateless. */
+public final class UsersSettings {
+    private UsersSettings() {}
+
+    /** Returns the settings of an instance on the loopback address. */
+    public static String text(
+            String name, String domain, int callersPort, int readinessPort, int metricsPort, int storePort) {
+        return String.join(
+                "\n",
+                "[instance]",
+                "name = " + name,
+                "domain = " + domain,
+                "[listen]",
+                "callers = 127.0.0.1:" + callersPort,
+                "readiness = 127.0.0.1:" + readinessPort,
+                "metrics-port = " + metricsPort,
+                "[store]",
+                "address = 127.0.0.1:" + storePort,
+                "[bounds]",
+                "revoke = 5s",
+                "retry-ratio = 0.2",
+                "retry-slack = 52",
+                "retry-window = 10s",
+                "cold-overage = 1.5",
+                "cold-slack = 5",
+                "load-factor = 2",
+                "grace = 8s",
+                "");
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersStore.java
@@ -0,0 +1,219 @@
+package org.cuminspur.standin.users;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.handlers.BlockingHandler;
+import io.undertow.util.Headers;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.StreamSupport;
+import org.cuminspur.store.StoreEntry;
+import org.cuminspur.store.StoreView;
+import org.cuminspur.store.Txn;
+import org.cuminspur.store.TxnResult;
+import org.cuminspur.testing.KeyValueTable;
+import org.cuminspur.time.Clock;
+
+/**
+ * A stand-in of the store on the users' platform; thread-safe.
+ *
+ * <p>Speaks the store's calls as the users describe them, one worker thread a call, and shows faults when told to.
+ */
+public final class UsersStore implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int WORKERS = 64;
+    private static final long POLL_MS = 5;
+    private static final long SECOND_MS = 1_000;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int GONE = 410;
+    private static final int CONFLICT = 412;
+    private static final int UNAVAILABLE = 503;
+
+    private final KeyValueTable table = new KeyValueTable();
+    private final StoreSwitches switches = new StoreSwitches();
+    private final Clock clock = Clock.system();
+    private final Undertow server;
+
+    /** Starts on a free port of the loopback address. */
+    public UsersStore() {
+        server = Undertow.builder()
+                .addHttpListener(0, "127.0.0.1")
+                .setIoThreads(1)
+                .setWorkerThreads(WORKERS)
+                .setHandler(new BlockingHandler(this::serve))
+                .build();
+        server.start();
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    /** Returns the faults that it shows. */
+    public StoreSwitches switches() {
+        return switches;
+    }
+
+    /** Writes a key, as operators and servers do. */
+    public long put(String key, String value) {
+        return table.commit(new Txn(List.of(), List.of(Txn.Put.of(key, value)), List.of()))
+                .revision();
+    }
+
+    /** Removes a key. */
+    public void remove(String key) {
+        table.commit(new Txn(List.of(), List.of(), List.of(key)));
+    }
+
+    /** Returns how many keys begin with a prefix. */
+    public int count(String prefix) {
+        table.expire(clock.millis());
+        return range(prefix).entries().size();
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private void serve(HttpServerExchange exchange) throws IOException, InterruptedException {
+        TimeUnit.MILLISECONDS.sleep(switches.delayMillis());
+        if (switches.mode() != StoreSwitches.Mode.UP) {
+            refuse(exchange);
+            return;
+        }
+        table.expire(clock.millis());
+        String path = exchange.getRequestPath();
+        if (path.equals("/kv-range")) {
+            answer(exchange, OK, page(range(query(exchange, "prefix"))));
+        } else if (path.equals("/kv-watch")) {
+            watch(exchange);
+        } else if (path.equals("/kv-txn")) {
+            commit(exchange);
+        } else if (path.equals("/kv-lease")) {
+            long ttlMillis = body(exchange).path("ttl_ms").asLong();
+            long lease = table.grant(ttlMillis / SECOND_MS, clock.millis());
+            answer(exchange, OK, JSON.createObjectNode().put("lease", lease).put("ttl_ms", ttlMillis));
+        } else if (path.startsWith("/kv-keep/")) {
+            long left = table.keepAlive(Long.parseLong(path.substring("/kv-keep/".length())), clock.millis());
+            answer(exchange, left > 0 ? OK : NOT_FOUND, JSON.createObjectNode().put("ttl_ms", left * SECOND_MS));
+        } else {
+            answer(exchange, NOT_FOUND, JSON.createObjectNode());
+        }
+    }
+
+    private void refuse(HttpServerExchange exchange) throws InterruptedException, IOException {
+        while (switches.mode() == StoreSwitches.Mode.SILENT) {
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+        answer(exchange, UNAVAILABLE, JSON.createObjectNode());
+    }
+
+    private void watch(HttpServerExchange exchange) throws IOException, InterruptedException {
+        String prefix = query(exchange, "prefix");
+        long after = Long.parseLong(query(exchange, "after"));
+        long until = clock.millis() + Long.parseLong(query(exchange, "wait_ms"));
+        List<StoreEntry> events = new ArrayList<>();
+        while (events.isEmpty() && clock.millis() < until) {
+            if (after < switches.historyFrom()) {
+                answer(exchange, GONE, JSON.createObjectNode());
+                return;
+            } else if (switches.mode() != StoreSwitches.Mode.UP) {
+                refuse(exchange);
+                return;
+            }
+            events.addAll(switches.deafWatches() ? List.of() : since(prefix, after));
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+        long asOf = events.isEmpty() ? after : events.get(events.size() - 1).modRevision();
+        ObjectNode reply = JSON.createObjectNode().put("as_of", asOf);
+        ArrayNode rows = reply.putArray("events");
+        events.forEach(event -> row(rows.addObject(), event));
+        answer(exchange, OK, reply);
+    }
+
+    private List<StoreEntry> since(String prefix, long after) {
+        List<StoreEntry> events = table.listen(after, (revision, changes) -> {});
+        return events.stream().filter(entry -> entry.key().startsWith(prefix)).toList();
+    }
+
+    private void commit(HttpServerExchange exchange) throws IOException {
+        JsonNode body = body(exchange);
+        Txn txn = new Txn(
+                StreamSupport.stream(body.path("expected_rev").spliterator(), false)
+                        .map(row -> new Txn.Compare(
+                                row.path("key").asText(), row.path("revision").asLong()))
+                        .toList(),
+                StreamSupport.stream(body.path("writes").spliterator(), false)
+                        .map(row -> new Txn.Put(
+                                row.path("key").asText(),
+                                new String(
+                                        Base64.getDecoder()
+                                                .decode(row.path("value").asText()),
+                                        StandardCharsets.UTF_8),
+                                row.path("lease").asLong()))
+                        .toList(),
+                StreamSupport.stream(body.path("remove").spliterator(), false)
+                        .map(JsonNode::asText)
+                        .toList());
+        TxnResult result = table.commit(txn);
+        if (switches.losesReply()) {
+            exchange.getConnection().close();
+            return;
+        }
+        answer(
+                exchange,
+                result.succeeded() ? OK : CONFLICT,
+                JSON.createObjectNode().put("revision", result.revision()));
+    }
+
+    private StoreView range(String prefix) {
+        return table.range(prefix, prefix + Character.MAX_VALUE);
+    }
+
+    private static ObjectNode page(StoreView view) {
+        ObjectNode page = JSON.createObjectNode().put("more_pages", false).put("as_of", view.revision());
+        ArrayNode items = page.putArray("items");
+        view.entries().forEach(entry -> row(items.addObject(), entry));
+        return page;
+    }
+
+    private static void row(ObjectNode row, StoreEntry entry) {
+        row.put("key", entry.key()).put("revision", entry.modRevision());
+        if (entry.value().isEmpty()) {
+            row.put("removed", true);
+        } else {
+            row.put("value", Base64.getEncoder().encodeToString(entry.value().getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    private static String query(HttpServerExchange exchange, String name) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        return values == null ? "" : values.getFirst();
+    }
+
+    private static JsonNode body(HttpServerExchange exchange) throws IOException {
+        return JSON.readTree(exchange.getInputStream());
+    }
+
+    private static void answer(HttpServerExchange exchange, int status, ObjectNode body) {
+        if (!exchange.getConnection().isOpen() || exchange.isResponseStarted()) {
+            return;
+        }
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(body.toString());
+    }
+}
--- /dev/null
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersTrial.java
@@ -0,0 +1,141 @@
+package org.cuminspur.standin.users;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/**
+ * One router's process among stand-ins of the users' platform; used by one thread.
+ *
+ * <p>Ends only the process that it started.
+ */
+public final class UsersTrial implements AutoCloseable {
+    /** Path of a stream's route. */
+    public static final String CHAT = "/chat/x";
+
+    /** Path of a route whose requests must not run twice. */
+    public static final String BOOK = "/book/x";
+
+    /** Routes that nobody calls, as many as the users have. */
+    private static final int IDLE_ROUTES = 110;
+
+    private static final long PAUSE_MS = 2;
+    private static final long START_MS = 20_000;
+    private static final long END_SECONDS = 30;
+    private static final long TIMEOUT_MS = 10_000;
+
+    private final UsersStore store = new UsersStore();
+    private final UsersServer engine = new UsersServer("engine", UsersServer.stream(20));
+    private final UsersServer plain = new UsersServer("plain", UsersServer.plain("done"));
+    private final UsersConfig config = new UsersConfig()
+            .service("model", true)
+            .service("app", false)
+            .route("/chat/", "stream", "model", 2, TIMEOUT_MS)
+            .route("/book/", "non_idempotent", "app", 1, TIMEOUT_MS)
+            .account("account", "key");
+    private final int port = freePort();
+    private final Path settings;
+    private final List<String> command;
+    private Process router;
+
+    /** Prepares a trial of a command. */
+    public UsersTrial(List<String> command) {
+        this.command = List.copyOf(command);
+        IntStream.range(0, IDLE_ROUTES)
+                .forEach(number -> config.route("/idle-" + number + "/", "idempotent", "app", 2, TIMEOUT_MS));
+        store.put("servers/engine", UsersConfig.server("model", engine.port(), "a", "ready", 0));
+        store.put("servers/plain", UsersConfig.server("app", plain.port(), "a", "ready", 0));
+        publish();
+        try {
+            settings = Files.createTempFile("router", ".ini");
+            Files.writeString(
+                    settings, UsersSettings.text("router-1", "a", port, freePort(), freePort(), store.port()));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Publishes the configuration as its next version. */
+    public void publish() {
+        store.put("op/config", config.version());
+    }
+
+    /** Starts the router's process. */
+    public void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .redirectError(ProcessBuilder.Redirect.DISCARD);
+        builder.environment().put("CUMINSPUR_SETTINGS", settings.toString());
+        router = builder.start();
+    }
+
+    /** Waits until a request is served; returns how long it took, in milliseconds, or throws if it took too long. */
+    public long awaitServing() throws InterruptedException {
+        long began = System.nanoTime();
+        while (!served(CHAT)) {
+            long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+            if (millis > START_MS) {
+                throw new IllegalStateException("the router does not serve");
+            }
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+        }
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+    }
+
+    /** Sends a request on a new connection; returns whether it was served. */
+    public boolean served(String path) {
+        String head = "POST " + path + " HTTP/1.1\r\nHost: " + UsersConfig.HOST
+                + "\r\nAttempt-Id: 1\r\nX-Api-Key: key\r\nDeadline-Ms: 9000\r\nPrompt-Prefix: a1:10,b2:10\r\n"
+                + "Token-Usage: 20,20\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}";
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return answer.contains(" 200 ");
+        } catch (IOException e) {
+            // The router does not listen yet, or not any more.
+            return false;
+        }
+    }
+
+    /** Returns the processor time that the router has used so far, in milliseconds. */
+    public long processorMillis() {
+        return router.info().totalCpuDuration().orElseThrow().toMillis();
+    }
+
+    /** Stops the router as the platform does and waits for its end. */
+    public void stop() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-TERM", Long.toString(router.pid())).start().waitFor();
+        router.waitFor(END_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (router != null) {
+            router.destroyForcibly();
+        }
+        engine.close();
+        plain.close();
+        store.close();
+        try {
+            Files.deleteIfExists(settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -153,9 +153,21 @@
         boolean changed = gone.stream()
                 .map(key -> apply(new StoreEntry(key, "", view.revision())))
                 .reduce(false, Boolean::logicalOr);
+        publishIf(takeAll(view.entries()) | changed);
         loadedRevision = view.revision();
         appliedRevision = Math.max(appliedRevision, view.revision());
-        publishIf(takeAll(view.entries()) | changed);
+        FleetView now = directory.view();
+        context.events()
+                .emit(
+                        "store-read",
+                        "storeRevision",
+                        view.revision(),
+                        "upstreams",
+                        now.upstreams().size(),
+                        "emptiedDomains",
+                        now.emptied().size(),
+                        "instances",
+                        now.instances().size());
     }
 
     private void watch() {
@@ -211,7 +223,7 @@
     private boolean take(FleetFact fact, StoreEntry entry) {
         long now = context.clock().millis();
         boolean changed = directory.take(fact, now, keepLapsedUntil(now));
-        if (changed) {
+        if (changed && (loadedRevision > 0 || fact instanceof FleetFact.Published)) {
             BeliefEvents.emit(context.events(), fact, entry.modRevision());
         }
         return changed;
