Keep prompts at their upstream under bunched arrivals

Change: three times the even part, then the rate is ignored before soundness is; 0.85 of the bound on load before a prompt spills.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.Choice;
 import org.cuminspur.traffic.Freshness;
 import org.cuminspur.traffic.UpstreamState;
 
@@ -15,7 +16,9 @@
         this.call = call;
     }
 
-    void placed(RoutedCall routed, UpstreamState upstream, int attempt, long now) {
+    void placed(RoutedCall routed, Choice choice, int attempt, long now) {
+        UpstreamState upstream = choice.upstream();
+        traffic.metrics().counter("placed." + choice.reason().name()).inc();
         traffic.events()
                 .emit(
                         "placed",
@@ -25,6 +28,12 @@
                         routed.route().id().value(),
                         "upstream",
                         upstream.id().value(),
+                        "reason",
+                        choice.reason().name(),
+                        "prompt",
+                        Long.toHexString(call.prompt().sharedKey().orElse(0)),
+                        "sharedTokens",
+                        call.prompt().sharedTokens(),
                         "attempt",
                         attempt,
                         "own",
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -22,6 +22,7 @@
 import org.cuminspur.retry.RetryTerms;
 import org.cuminspur.traffic.AnswerHead;
 import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.Choice;
 import org.cuminspur.traffic.FleetRetryBudget;
 import org.cuminspur.traffic.PromptPlacement;
 import org.cuminspur.traffic.SendHead;
@@ -134,14 +135,14 @@
     private void place() {
         long now = now();
         OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
-        Optional<UpstreamState> chosen = traffic.placement()
+        Optional<Choice> chosen = traffic.placement()
                 .choose(traffic.board().of(routed.service()), new PromptPlacement.Demand(key, tried), now);
         if (chosen.isEmpty()) {
             step(attempts.after(new AttemptEvent.NoUpstream()));
             return;
         }
-        UpstreamState upstream = chosen.get();
-        log.placed(routed, upstream, tried.size() + 1, now);
+        UpstreamState upstream = chosen.get().upstream();
+        log.placed(routed, chosen.get(), tried.size() + 1, now);
         tried.add(upstream.id());
         sentMillis = now;
         send = new UpstreamSend(upstream, traffic.connections(), traffic.buffer(), this);
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
@@ -86,7 +86,8 @@
         assertNotEquals(chosen(board, KEY).id(), first.id());
         UpstreamState again = placement
                 .choose(board.of(TrafficFixtures.MODEL), TrafficFixtures.demand(KEY), now + 1_000)
-                .orElseThrow();
+                .orElseThrow()
+                .upstream();
         assertEquals(again.id(), first.id());
     }
 
@@ -141,14 +142,18 @@
     @Test
     public void requestsWithoutAPromptStayInTheirOwnDomainWhileItIsNotLoaded() {
         PromptPlacement.Demand plain = new PromptPlacement.Demand(OptionalLong.empty(), Set.of());
-        UpstreamState near =
-                placement.choose(board.of(TrafficFixtures.MODEL), plain, now).orElseThrow();
+        UpstreamState near = placement
+                .choose(board.of(TrafficFixtures.MODEL), plain, now)
+                .orElseThrow()
+                .upstream();
         assertEquals(near.entry().domain(), TrafficFixtures.MILANO);
         TrafficFixtures.board(board).stream()
                 .filter(state -> state.entry().domain().equals(TrafficFixtures.MILANO))
                 .forEach(state -> load(state, 3));
-        UpstreamState far =
-                placement.choose(board.of(TrafficFixtures.MODEL), plain, now).orElseThrow();
+        UpstreamState far = placement
+                .choose(board.of(TrafficFixtures.MODEL), plain, now)
+                .orElseThrow()
+                .upstream();
         assertEquals(far.entry().domain(), TrafficFixtures.TORINO);
     }
 
@@ -157,7 +162,9 @@
     }
 
     private Optional<UpstreamState> choice(UpstreamBoard from, long key) {
-        return placement.choose(from.of(TrafficFixtures.MODEL), TrafficFixtures.demand(key), now);
+        return placement
+                .choose(from.of(TrafficFixtures.MODEL), TrafficFixtures.demand(key), now)
+                .map(Choice::upstream);
     }
 
     private UpstreamState chosen(UpstreamBoard from, long key) {
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/Choice.java
@@ -0,0 +1,22 @@
+package org.cuminspur.traffic;
+
+/**
+ * The upstream that was chosen for a request, and why; immutable.
+ *
+ * @param reason why it was not the first in the prompt's order, or that it was
+ */
+public record Choice(UpstreamState upstream, Reason reason) {
+    /** Why an upstream was chosen. */
+    public enum Reason {
+        /** It is the first in the prompt's order. */
+        PROMPT,
+        /** The request has no prompt; it is the least loaded. */
+        LEAST_LOADED,
+        /** The first in the prompt's order holds its part of the load. */
+        SPILL_LOAD,
+        /** The first has had its part of this second's requests. */
+        SPILL_RATE,
+        /** The first is left out, silent or failing. */
+        SPILL_UNSOUND
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Stream;
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.internal.hash.Rendezvous;
@@ -20,10 +21,10 @@
  */
 public final class PromptPlacement {
     /** Part of the bound on load that placement uses; reports are a second old. */
-    private static final double USED_FACTOR = 0.75;
+    private static final double USED_FACTOR = 0.85;
 
     /** Load that every upstream may hold whatever the mean is, so that a quiet service keeps its caches. */
-    private static final double LOAD_SLACK = 2;
+    private static final double LOAD_SLACK = 2.5;
 
     /** Requests in progress that a shorter way is worth; about a quarter of a small upstream's slots. */
     private static final double OTHER_DOMAIN_COST = 1.2;
@@ -60,7 +61,7 @@
     }
 
     /** Returns the upstream to send a request to, empty if none may take it now. */
-    public Optional<UpstreamState> choose(List<UpstreamState> service, Demand demand, long nowMillis) {
+    public Optional<Choice> choose(List<UpstreamState> service, Demand demand, long nowMillis) {
         List<UpstreamState> open = service.stream()
                 .filter(state -> state.open() && !demand.tried().contains(state.id()))
                 .filter(state -> state.withinColdRate(nowMillis))
@@ -72,28 +73,56 @@
         List<UpstreamState> sound = open.stream()
                 .filter(state -> sound(state, meanFailures, nowMillis))
                 .toList();
-        if (sound.isEmpty()) {
-            return open.stream().min(Comparator.comparingLong(state -> state.silentMillis(nowMillis)));
+        List<UpstreamState> candidates = firstFilled(
+                sound.stream().filter(state -> state.withinRate(nowMillis)).toList(), sound, open);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
         }
-        Loads loads = new Loads(sound, nowMillis);
-        return demand.sharedKey().isPresent()
-                ? byPrompt(sound, demand.sharedKey().getAsLong(), loads)
-                : sound.stream().min(Comparator.comparingDouble(state -> cost(state, loads)));
+        Loads loads = new Loads(candidates, nowMillis);
+        if (demand.sharedKey().isEmpty()) {
+            return candidates.stream()
+                    .min(Comparator.comparingDouble(state -> cost(state, loads)))
+                    .map(state -> new Choice(state, Choice.Reason.LEAST_LOADED));
+        }
+        long key = demand.sharedKey().getAsLong();
+        UpstreamState chosen = byPrompt(candidates, key, loads);
+        UpstreamState first = first(service.stream().filter(UpstreamState::open), key);
+        return Optional.of(new Choice(chosen, reason(first, chosen, meanFailures, nowMillis)));
+    }
+
+    @SafeVarargs
+    private static List<UpstreamState> firstFilled(List<UpstreamState>... levels) {
+        return Stream.of(levels).filter(level -> !level.isEmpty()).findFirst().orElse(List.of());
     }
 
     private static boolean sound(UpstreamState state, double meanFailures, long nowMillis) {
-        return state.withinRate(nowMillis)
-                && state.health().admits(nowMillis)
+        return state.health().admits(nowMillis)
                 && state.silentMillis(nowMillis) < SILENT_MS
                 && state.health().failureRate() < meanFailures + FAILURE_EXCESS;
     }
 
-    private Optional<UpstreamState> byPrompt(List<UpstreamState> sound, long key, Loads loads) {
+    private static Choice.Reason reason(
+            UpstreamState first, UpstreamState chosen, double meanFailures, long nowMillis) {
+        if (first == chosen) {
+            return Choice.Reason.PROMPT;
+        } else if (!sound(first, meanFailures, nowMillis)) {
+            return Choice.Reason.SPILL_UNSOUND;
+        }
+        return first.withinRate(nowMillis) ? Choice.Reason.SPILL_LOAD : Choice.Reason.SPILL_RATE;
+    }
+
+    private UpstreamState byPrompt(List<UpstreamState> sound, long key, Loads loads) {
         double limit = Math.max(1, USED_FACTOR * loadFactor) * loads.mean() + LOAD_SLACK;
-        return sound.stream()
-                .filter(state -> loads.of(state) <= limit)
-                .max(Comparator.comparingDouble(state -> Rendezvous.score(key, state.hash(), 1)))
-                .or(() -> sound.stream().min(Comparator.comparingDouble(loads::of)));
+        UpstreamState within = first(sound.stream().filter(state -> loads.of(state) <= limit), key);
+        return within != null
+                ? within
+                : sound.stream().min(Comparator.comparingDouble(loads::of)).orElseThrow();
+    }
+
+    /** Returns the first in the prompt's order, or null if there is none. */
+    private static UpstreamState first(Stream<UpstreamState> states, long key) {
+        return states.max(Comparator.comparingDouble(state -> Rendezvous.score(key, state.hash(), 1)))
+                .orElse(null);
     }
 
     private double cost(UpstreamState state, Loads loads) {
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptShape.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptShape.java
@@ -19,6 +19,14 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the tokens of the shared parts. */
+    public int sharedTokens() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1L))
+                .mapToInt(PromptPart::tokens)
+                .sum();
+    }
+
     /** Returns the key under which requests with the same shared parts meet, if there are any. */
     public OptionalLong sharedKey() {
         if (parts.size() < 2) {
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamBoard.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamBoard.java
@@ -15,8 +15,11 @@
  * <p>Not thread-safe; used on the traffic thread. Counts of an upstream start anew when its process does.
  */
 public final class UpstreamBoard {
-    /** Factor on an even part of the rate for warm upstreams: callers are not spread evenly over instances. */
-    private static final double WARM_UNEVENNESS = 1.6;
+    /**
+     * Factor on an even part of the rate for warm upstreams, which may turn cold before they say so. Callers are not
+     * spread evenly over instances and come in bunches, so that one instance often sends three times its part.
+     */
+    private static final double WARM_UNEVENNESS = 3;
 
     private static final int LEAST_WARM_SHARE = 3;
 
