Keep prompts by a stored table of owners that heals as upstreams come and go

Change: 1,024 buckets with an owner each; a leaving owner's buckets go to those that own the fewest, additions move none but for a hundredth of the table each 10 s. All instances heal alike; the table lies in the platform's store for starts.

--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
@@ -43,7 +43,12 @@
                 settings, platform.dialect(), clock, freshness, this::confirmSoon, events, new MetricRegistry());
         FleetFeed.Context context = new FleetFeed.Context(clock, timer, freshness, settings.bounds(), events);
         feed = new FleetFeed(
-                platform.store(), platform.decoder(), platform.registrationKey(), context, server::publish);
+                platform.store(),
+                platform.decoder(),
+                settings.id(),
+                platform.registrationKey(),
+                context,
+                server::publish);
         registration = new InstanceRegistration(
                 platform.store(), platform.registrationKey(), settings.domain().value(), timer, events);
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -135,8 +135,12 @@
     private void place() {
         long now = now();
         OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
-        Optional<Choice> chosen = traffic.placement()
-                .choose(traffic.board().of(routed.service()), new PromptPlacement.Demand(key, tried), now);
+        Optional<UpstreamId> owner = Optional.ofNullable(
+                        traffic.board().view().prompts().get(routed.service()))
+                .filter(table -> key.isPresent())
+                .map(table -> table.owner(key.getAsLong()));
+        PromptPlacement.Demand demand = new PromptPlacement.Demand(key, owner, tried);
+        Optional<Choice> chosen = traffic.placement().choose(traffic.board().of(routed.service()), demand, now);
         if (chosen.isEmpty()) {
             step(attempts.after(new AttemptEvent.NoUpstream()));
             return;
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Random;
 import org.cuminspur.event.EventSink;
+import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.store.Txn;
 import org.cuminspur.testing.MemoryStore;
@@ -18,6 +19,8 @@
 public class FleetFeedTest {
     private static final UpstreamId ONE = new UpstreamId("one");
 
+    private static final InstanceId SELF = new InstanceId("instance-0");
+
     private VirtualTime time;
     private MemoryStore store;
     private Freshness freshness;
@@ -138,7 +141,7 @@
     private FleetFeed feed() {
         FleetFeed.Context context =
                 new FleetFeed.Context(time.clock(), time::after, freshness, TrafficFixtures.BOUNDS, EventSink.NONE);
-        return new FleetFeed(store, TrafficFixtures::decode, "probe", context, next -> view = next);
+        return new FleetFeed(store, TrafficFixtures::decode, SELF, "probe", context, next -> view = next);
     }
 
     private void write(String key, String value) {
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -117,8 +118,8 @@
         UpstreamEntry one = TrafficFixtures.upstream("one", TrafficFixtures.MILANO, 0);
         UpstreamEntry two = TrafficFixtures.upstream("two", TrafficFixtures.TORINO, 0);
         FleetView open = TrafficFixtures.view(6, TrafficFixtures.leaving(one), two);
-        FleetView emptied =
-                new FleetView(open.routes(), open.upstreams(), Set.of(TrafficFixtures.TORINO), open.instances());
+        FleetView emptied = new FleetView(
+                open.routes(), open.upstreams(), Set.of(TrafficFixtures.TORINO), open.instances(), Map.of());
         board.apply(open, now);
         assertEquals(chosen(board, KEY).id(), two.id());
         assertTrue(placement
@@ -132,7 +133,9 @@
     public void anEmptiedDomainComesBackCold() {
         FleetView open = TrafficFixtures.view(6, TrafficFixtures.upstreams(2));
         board.apply(
-                new FleetView(open.routes(), open.upstreams(), Set.of(TrafficFixtures.MILANO), open.instances()), now);
+                new FleetView(
+                        open.routes(), open.upstreams(), Set.of(TrafficFixtures.MILANO), open.instances(), Map.of()),
+                now);
         board.apply(open, now);
         TrafficFixtures.board(board)
                 .forEach(state ->
@@ -141,7 +144,7 @@
 
     @Test
     public void requestsWithoutAPromptStayInTheirOwnDomainWhileItIsNotLoaded() {
-        PromptPlacement.Demand plain = new PromptPlacement.Demand(OptionalLong.empty(), Set.of());
+        PromptPlacement.Demand plain = new PromptPlacement.Demand(OptionalLong.empty(), Optional.empty(), Set.of());
         UpstreamState near = placement
                 .choose(board.of(TrafficFixtures.MODEL), plain, now)
                 .orElseThrow()
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptTableTest.java
@@ -0,0 +1,102 @@
+package org.cuminspur.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.id.UpstreamId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks how many prompts move as upstreams come and go, beside what rendezvous hashing would move. */
+public class PromptTableTest {
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{1}, {3}, {8}, {63}, {98}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void bucketsAreSharedEvenly(int size) {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, size));
+        List<Integer> held = upstreams(0, size).stream()
+                .map(id -> Collections.frequency(table.owners(), id))
+                .toList();
+        assertTrue(Collections.max(held) - Collections.min(held) <= 1, held.toString());
+    }
+
+    @Test(dataProvider = "sizes")
+    public void addedUpstreamsMoveNothing(int size) {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, size));
+        assertEquals(table.healed(upstreams(0, size + 3)), table);
+    }
+
+    @Test(dataProvider = "sizes")
+    public void aReleaseMovesEachPromptOnce(int size) {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, size));
+        int moved = 0;
+        for (int step = 0; step < size; step++) {
+            PromptTable joined = table.healed(upstreams(step, size + step + 1));
+            PromptTable left = joined.healed(upstreams(step + 1, size + step + 1));
+            moved += moved(table, left);
+            table = left;
+        }
+        // Counts differ by one, and that bucket may go to another than the newcomer and move again.
+        assertTrue(moved >= PromptTable.BUCKETS && moved <= PromptTable.BUCKETS + size, "moved " + moved);
+    }
+
+    @Test
+    public void aLeavingUpstreamMovesItsOwnBucketsOnly() {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, 8));
+        PromptTable next = table.healed(upstreams(1, 8));
+        assertEquals(moved(table, next), PromptTable.BUCKETS / 8);
+    }
+
+    @Test
+    public void eveningMovesNoMoreThanAsked() {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, 8));
+        PromptTable next = table.evened(upstreams(0, 10), 10);
+        assertEquals(moved(table, next), 10);
+        for (int step = 0; step < 100; step++) {
+            next = next.evened(upstreams(0, 10), 10);
+        }
+        PromptTable even = next;
+        assertTrue(upstreams(0, 10).stream()
+                .allMatch(id -> Collections.frequency(even.owners(), id) >= PromptTable.BUCKETS / 10));
+    }
+
+    @Test(dataProvider = "sizes")
+    public void textHoldsTheWholeTable(int size) {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, size));
+        assertEquals(PromptTable.decoded(table.encoded()), table);
+        assertEquals(PromptTable.decoded(PromptTable.EMPTY.encoded()), PromptTable.EMPTY);
+    }
+
+    @DataProvider
+    public Object[][] malformed() {
+        return new Object[][] {{""}, {";"}, {"a;0"}, {"a;" + "1,".repeat(1_023) + "1"}, {"a;" + "x!,".repeat(1_024)}};
+    }
+
+    @Test(dataProvider = "malformed")
+    public void malformedTextIsRefused(String text) {
+        assertThrows(IllegalArgumentException.class, () -> PromptTable.decoded(text));
+    }
+
+    private static Set<UpstreamId> upstreams(int from, int to) {
+        return IntStream.range(from, to)
+                .mapToObj(i -> new UpstreamId(String.format("upstream-%03d", i)))
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static int moved(PromptTable before, PromptTable after) {
+        return (int) IntStream.range(0, PromptTable.BUCKETS)
+                .filter(bucket ->
+                        !before.owners().get(bucket).equals(after.owners().get(bucket)))
+                .count();
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptTablesTest.java
@@ -0,0 +1,106 @@
+package org.cuminspur.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.cuminspur.event.EventSink;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.store.Txn;
+import org.cuminspur.testing.MemoryStore;
+import org.cuminspur.testing.VirtualTime;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Checks that instances agree on who keeps which prompts through changes, outages and starts; virtual time. */
+public class PromptTablesTest {
+    private static final int INSTANCES = 6;
+
+    private final List<FleetView> views = new ArrayList<>();
+    private VirtualTime time;
+    private MemoryStore store;
+
+    @BeforeMethod
+    public void start() {
+        time = new VirtualTime(1_000_000);
+        store = new MemoryStore(time, new Random(1));
+        views.clear();
+        write("config/x", "3");
+        IntStream.range(0, INSTANCES).forEach(i -> write("instance/instance-" + i, "a"));
+        IntStream.range(0, 8).forEach(i -> write("upstream/u" + i, "ready"));
+        IntStream.range(0, INSTANCES).forEach(this::instance);
+        time.run(8_000);
+    }
+
+    @Test
+    public void allAgreeAndOneStoresTheTable() {
+        assertAgreement();
+        assertTrue(store.writes() <= 2, "writes " + store.writes());
+    }
+
+    @Test
+    public void allAgreeAtOnceAfterAReleaseAndWithoutTheStore() {
+        write("upstream/u8", "ready");
+        time.run(20);
+        write("upstream/u0", "leaving");
+        time.run(20);
+        store.faults().outage(true);
+        time.run(3_000);
+        assertAgreement();
+        assertEquals(
+                table(0).owners().stream().filter(id -> id.value().equals("u0")).count(), 0);
+        assertEquals(
+                table(0).owners().stream().filter(id -> id.value().equals("u8")).count(), 128);
+    }
+
+    @Test
+    public void anInstanceThatStartsLaterAgrees() {
+        write("upstream/u8", "ready");
+        time.run(500);
+        write("upstream/u0", "leaving");
+        time.run(6_000);
+        instance(INSTANCES);
+        time.run(200);
+        assertEquals(table(INSTANCES), table(0));
+    }
+
+    @Test
+    public void addedUpstreamsGetPromptsLittleByLittle() {
+        write("upstream/u8", "ready");
+        time.run(60_000);
+        long owned =
+                table(0).owners().stream().filter(id -> id.value().equals("u8")).count();
+        assertTrue(owned >= 40 && owned <= 70, "owned " + owned);
+        assertAgreement();
+    }
+
+    private void assertAgreement() {
+        IntStream.range(0, INSTANCES).forEach(i -> assertEquals(table(i), table(0)));
+    }
+
+    private PromptTable table(int instance) {
+        return views.get(instance).prompts().get(TrafficFixtures.MODEL);
+    }
+
+    private void instance(int number) {
+        views.add(FleetView.NONE);
+        Freshness freshness = new Freshness(time.clock(), time.clock());
+        FleetFeed.Context context =
+                new FleetFeed.Context(time.clock(), time::after, freshness, TrafficFixtures.BOUNDS, EventSink.NONE);
+        new FleetFeed(
+                        store,
+                        TrafficFixtures::decode,
+                        new InstanceId("instance-" + number),
+                        "probe",
+                        context,
+                        next -> views.set(number, next))
+                .start();
+    }
+
+    private void write(String key, String value) {
+        store.table().commit(new Txn(List.of(), List.of(Txn.Put.of(key, value)), List.of()));
+    }
+}
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
@@ -85,7 +85,8 @@
                 Optional.of(new HostRouteTable(config(1, route("host", "/")))),
                 upstreams,
                 Set.of(),
-                instances(instances));
+                instances(instances),
+                Map.of());
     }
 
     static UpstreamEntry[] upstreams(int count) {
@@ -95,7 +96,7 @@
     }
 
     static PromptPlacement.Demand demand(long key, UpstreamId... tried) {
-        return new PromptPlacement.Demand(OptionalLong.of(key), Set.of(tried));
+        return new PromptPlacement.Demand(OptionalLong.of(key), Optional.empty(), Set.of(tried));
     }
 
     /** Reads {@code config/N}, {@code upstream/ID=ready|leaving}, {@code empty/DOMAIN} and {@code instance/ID}. */
@@ -117,6 +118,10 @@
                 removed
                         ? new FleetFact.InstanceGone(new InstanceId(key[1]))
                         : new FleetFact.InstanceSeen(new InstanceId(key[1]));
+            case "cuminspur" ->
+                removed
+                        ? new FleetFact.Irrelevant()
+                        : new FleetFact.PromptsKept(MODEL, PromptTable.decoded(entry.value()));
             default -> new FleetFact.Irrelevant();
         };
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/ColdShare.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/ColdShare.java
@@ -13,7 +13,7 @@
  */
 final class ColdShare {
     /** Part of the rate that is given out; the rest covers requests that arrive bunched after an uneven delay. */
-    private static final double GIVEN_OUT = 0.8;
+    private static final double GIVEN_OUT = 0.9;
 
     private ColdShare() {}
 
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetDirectory.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetDirectory.java
@@ -75,7 +75,8 @@
                 Optional.ofNullable(routes),
                 upstreams,
                 emptied,
-                instances.keySet().stream().sorted().toList());
+                instances.keySet().stream().sorted().toList(),
+                Map.of());
     }
 
     private boolean publish(TrafficConfig config) {
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFact.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFact.java
@@ -2,6 +2,7 @@
 
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.ServiceId;
 import org.cuminspur.id.UpstreamId;
 
 /** What one entry of the platform's store says; each kind is an immutable record. */
@@ -27,6 +28,9 @@
     /** An instance's entry is no longer there. */
     record InstanceGone(InstanceId id) implements FleetFact {}
 
+    /** The fleet has stored which upstream keeps which prompts. */
+    record PromptsKept(ServiceId service, PromptTable table) implements FleetFact {}
+
     /** The entry cannot be read, and says nothing. */
     record Malformed(String reason) implements FleetFact {}
 
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cuminspur.event.EventSink;
+import org.cuminspur.id.InstanceId;
 import org.cuminspur.store.Store;
 import org.cuminspur.store.StoreEntry;
 import org.cuminspur.store.StoreFault;
@@ -46,6 +47,7 @@
     private final Context context;
     private final Consumer<FleetView> publish;
     private final FleetDirectory directory = new FleetDirectory();
+    private final PromptTables prompts;
     private final Map<String, Long> known = new HashMap<>();
     private long appliedRevision;
     private long loadedRevision;
@@ -60,21 +62,30 @@
     /**
      * Makes a feed.
      *
+     * @param self this instance
      * @param probeKey key whose read serves as confirmation
      * @param publish receives each new view
      */
-    public FleetFeed(Store store, FleetDecoder decoder, String probeKey, Context context, Consumer<FleetView> publish) {
+    public FleetFeed(
+            Store store,
+            FleetDecoder decoder,
+            InstanceId self,
+            String probeKey,
+            Context context,
+            Consumer<FleetView> publish) {
         this.store = store;
         this.decoder = decoder;
         this.probeKey = probeKey;
         this.context = context;
         this.publish = publish;
+        this.prompts = new PromptTables(store, self, context);
         this.lastHeardMillis = context.clock().millis();
     }
 
     /** Starts to read. */
     public void start() {
         context.timer().after(0, this::load);
+        context.timer().after(0, prompts::start);
         context.timer().after(CONFIRM_EVERY_MS, this::confirmRegularly);
     }
 
@@ -221,6 +232,9 @@
     }
 
     private boolean take(FleetFact fact, StoreEntry entry) {
+        if (fact instanceof FleetFact.PromptsKept kept) {
+            return prompts.take(kept.service(), kept.table(), entry.modRevision());
+        }
         long now = context.clock().millis();
         boolean changed = directory.take(fact, now, keepLapsedUntil(now));
         if (changed && (loadedRevision > 0 || fact instanceof FleetFact.Published)) {
@@ -269,7 +283,8 @@
 
     private void publishIf(boolean changed) {
         if (changed) {
-            publish.accept(directory.view());
+            FleetView view = directory.view();
+            publish.accept(view.with(prompts.heal(view)));
         }
     }
 
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -15,8 +15,8 @@
  * Chooses the upstream for a request.
  *
  * <p>Not thread-safe; used on the traffic thread. Requests with the same shared prompt go to the same upstream on every
- * instance, in the rendezvous order of the prompt, until it holds more than its part of the load; then to the next one
- * in that order, which is again the same everywhere. Other requests go to the least loaded, the own failure domain
+ * instance, the one that owns it, until that holds more than its part of the load; then to the next one in the
+ * rendezvous order of the prompt, which is again the same everywhere. Other requests go to the least loaded, the own failure domain
  * first. A cold upstream never gets more than its rate, whatever else is left.
  */
 public final class PromptPlacement {
@@ -39,9 +39,10 @@
      * What placement needs to know of a request; immutable.
      *
      * @param sharedKey key of the prompt's shared parts, if it has any
+     * @param owner the upstream that keeps the prompt, if one does
      * @param tried upstreams that it was sent to already
      */
-    public record Demand(OptionalLong sharedKey, Set<UpstreamId> tried) {}
+    public record Demand(OptionalLong sharedKey, Optional<UpstreamId> owner, Set<UpstreamId> tried) {}
 
     private final FailureDomainId domain;
     private final double loadFactor;
@@ -84,9 +85,8 @@
                     .min(Comparator.comparingDouble(state -> cost(state, loads)))
                     .map(state -> new Choice(state, Choice.Reason.LEAST_LOADED));
         }
-        long key = demand.sharedKey().getAsLong();
-        UpstreamState chosen = byPrompt(candidates, key, loads);
-        UpstreamState first = first(service.stream().filter(UpstreamState::open), key);
+        UpstreamState chosen = byPrompt(candidates, demand, loads);
+        UpstreamState first = first(service.stream().filter(UpstreamState::open), demand);
         return Optional.of(new Choice(chosen, reason(first, chosen, meanFailures, nowMillis)));
     }
 
@@ -111,17 +111,21 @@
         return first.withinRate(nowMillis) ? Choice.Reason.SPILL_LOAD : Choice.Reason.SPILL_RATE;
     }
 
-    private UpstreamState byPrompt(List<UpstreamState> sound, long key, Loads loads) {
+    private UpstreamState byPrompt(List<UpstreamState> sound, Demand demand, Loads loads) {
         double limit = Math.max(1, USED_FACTOR * loadFactor) * loads.mean() + LOAD_SLACK;
-        UpstreamState within = first(sound.stream().filter(state -> loads.of(state) <= limit), key);
+        UpstreamState within = first(sound.stream().filter(state -> loads.of(state) <= limit), demand);
         return within != null
                 ? within
                 : sound.stream().min(Comparator.comparingDouble(loads::of)).orElseThrow();
     }
 
     /** Returns the first in the prompt's order, or null if there is none. */
-    private static UpstreamState first(Stream<UpstreamState> states, long key) {
-        return states.max(Comparator.comparingDouble(state -> Rendezvous.score(key, state.hash(), 1)))
+    private static UpstreamState first(Stream<UpstreamState> states, Demand demand) {
+        UpstreamId owner = demand.owner().orElse(null);
+        long key = demand.sharedKey().getAsLong();
+        return states.max(Comparator.<UpstreamState, Boolean>comparing(
+                                state -> state.id().equals(owner))
+                        .thenComparingDouble(state -> Rendezvous.score(key, state.hash(), 1)))
                 .orElse(null);
     }
 
--- /dev/null
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptTable.java
@@ -0,0 +1,155 @@
+package org.cuminspur.traffic;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.internal.hash.Rendezvous;
+
+/**
+ * Says which upstream of a service keeps which prompts; immutable and safe to share between threads.
+ *
+ * <p>Prompts fall into buckets by their key, and each bucket has an owner. When an owner leaves, only its buckets move;
+ * they go to those that own the fewest, which are the upstreams that came last. So a release moves each prompt once, and
+ * upstreams that are added move none. All instances that see the same changes make the same table.
+ */
+public final class PromptTable {
+    /** Enough for the buckets of 100 upstreams to differ by a tenth. */
+    public static final int BUCKETS = 1_024;
+
+    /** A table without owners. */
+    public static final PromptTable EMPTY = new PromptTable(new UpstreamId[BUCKETS]);
+
+    private final UpstreamId[] owners;
+
+    private PromptTable(UpstreamId[] owners) {
+        this.owners = owners;
+    }
+
+    /** Returns a table with the given owner of each bucket; a bucket may have none. */
+    static PromptTable of(UpstreamId... owners) {
+        if (owners.length != BUCKETS) {
+            throw new IllegalArgumentException("expected " + BUCKETS + " buckets, found " + owners.length);
+        }
+        return new PromptTable(owners.clone());
+    }
+
+    /** Returns the owner of a prompt, or null if its bucket has none. */
+    public UpstreamId owner(long key) {
+        return owners[(int) Long.remainderUnsigned(Rendezvous.mix(key, 0), BUCKETS)];
+    }
+
+    /** Returns the owner of each bucket. */
+    List<UpstreamId> owners() {
+        return Arrays.asList(owners);
+    }
+
+    /** Returns a table in which every bucket has an owner among the members, unless there are none. */
+    public PromptTable healed(Set<UpstreamId> members) {
+        if (members.isEmpty()) {
+            return this;
+        }
+        Map<UpstreamId, Integer> held = held(members);
+        UpstreamId[] next = owners.clone();
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (next[bucket] == null || !members.contains(next[bucket])) {
+                next[bucket] = fewest(held);
+                held.merge(next[bucket], 1, Integer::sum);
+            }
+        }
+        return Arrays.equals(next, owners) ? this : new PromptTable(next);
+    }
+
+    /** Returns a table in which up to {@code most} buckets have moved from those that own the most to the others. */
+    public PromptTable evened(Set<UpstreamId> members, int most) {
+        Map<UpstreamId, Integer> held = held(members);
+        UpstreamId[] next = owners.clone();
+        for (int moved = 0; moved < most && !held.isEmpty(); moved++) {
+            UpstreamId from = most(held);
+            UpstreamId to = fewest(held);
+            if (held.get(from) - held.get(to) < 2) {
+                break;
+            }
+            next[Arrays.asList(next).indexOf(from)] = to;
+            held.merge(from, -1, Integer::sum);
+            held.merge(to, 1, Integer::sum);
+        }
+        return Arrays.equals(next, owners) ? this : new PromptTable(next);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PromptTable table && Arrays.equals(owners, table.owners);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(owners);
+    }
+
+    private Map<UpstreamId, Integer> held(Set<UpstreamId> members) {
+        Map<UpstreamId, Integer> held = new HashMap<>();
+        members.forEach(member -> held.put(member, 0));
+        for (UpstreamId owner : owners) {
+            if (owner != null) {
+                held.computeIfPresent(owner, (id, count) -> count + 1);
+            }
+        }
+        return held;
+    }
+
+    private static UpstreamId fewest(Map<UpstreamId, Integer> held) {
+        return held.entrySet().stream()
+                .min(Map.Entry.<UpstreamId, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey)
+                .orElseThrow();
+    }
+
+    private static UpstreamId most(Map<UpstreamId, Integer> held) {
+        return held.entrySet().stream()
+                .max(Map.Entry.<UpstreamId, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey)
+                .orElseThrow();
+    }
+
+    /** Returns the table as text: the owners' ids by commas, a semicolon, and the position of each bucket's owner. */
+    String encoded() {
+        List<UpstreamId> ids = Arrays.stream(owners)
+                .filter(Objects::nonNull)
+                .distinct()
+                .sorted(Comparator.naturalOrder())
+                .toList();
+        Map<UpstreamId, String> positions = IntStream.range(0, ids.size())
+                .boxed()
+                .collect(Collectors.toMap(ids::get, position -> Integer.toString(position, Character.MAX_RADIX)));
+        return ids.stream().map(UpstreamId::value).collect(Collectors.joining(","))
+                + ";"
+                + Arrays.stream(owners)
+                        .map(owner -> owner == null ? "" : positions.get(owner))
+                        .collect(Collectors.joining(","));
+    }
+
+    /** Reads what {@link #encoded} wrote; throws {@link IllegalArgumentException} if it is malformed. */
+    public static PromptTable decoded(String text) {
+        String[] halves = text.split(";", -1);
+        if (halves.length != 2) {
+            throw new IllegalArgumentException("expected ids and buckets");
+        }
+        String[] ids = halves[0].split(",", -1);
+        Function<String, UpstreamId> owner = position -> {
+            int index = position.isEmpty() ? -1 : Integer.parseInt(position, Character.MAX_RADIX);
+            if (index >= ids.length) {
+                throw new IllegalArgumentException("no owner " + index);
+            }
+            return index < 0 ? null : new UpstreamId(ids[index]);
+        };
+        return of(Arrays.stream(halves[1].split(",", -1)).map(owner).toArray(UpstreamId[]::new));
+    }
+}
