--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
@@ -81,12 +81,21 @@
         events.emit("stopped", "instance", settings.id().value(), "cut", cut);
     }
 
+    /** Ends the instance at once; for programs that embed it and go on. */
+    public void close() {
+        registration.stop();
+        server.close();
+        control.shutdownNow();
+    }
+
     private void confirmSoon() {
         feed.confirmSoon();
     }
 
     private void later(long delayMillis, Runnable action) {
-        control.schedule(() -> run(action), delayMillis, TimeUnit.MILLISECONDS);
+        if (!control.isShutdown()) {
+            control.schedule(() -> run(action), delayMillis, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void run(Runnable action) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -139,6 +139,12 @@
         }
     }
 
+    /** Closes all connections and stops the threads. */
+    public void close() {
+        server.stop();
+        worker.shutdownNow();
+    }
+
     /** Closes connections of callers as they fall idle; a caller finds another instance for its next request. */
     private void closeIdle() {
         traffic.callers().closeIdle();
--- /dev/null
+++ b/platform.test/tst/org/cuminspur/platform/Deployment.java
@@ -0,0 +1,149 @@
+package org.cuminspur.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.cuminspur.router.TrafficRouter;
+import org.cuminspur.router.TrafficSettings;
+import org.cuminspur.router.TrafficSettingsParser;
+import org.cuminspur.standin.users.UsersConfig;
+import org.cuminspur.standin.users.UsersServer;
+import org.cuminspur.standin.users.UsersSettings;
+import org.cuminspur.standin.users.UsersStore;
+
+/**
+ * One instance with the stand-ins of its platform: a store and two servers for each of two services.
+ *
+ * <p>Used by one thread. Streams go to {@code /chat/}, where they may resume, and to {@code /draft/}, where they may not;
+ * plain requests to {@code /look/}, which may repeat, and to {@code /book/}, which must not.
+ */
+final class Deployment implements AutoCloseable {
+    private static final long WAIT_MS = 8_000;
+
+    final UsersStore store = new UsersStore();
+    final UsersServer modelA = new UsersServer("model-a", UsersServer.stream(20));
+    final UsersServer modelB = new UsersServer("model-b", UsersServer.stream(20));
+    final UsersServer appA = new UsersServer("app-a", UsersServer.plain("done"));
+    final UsersServer appB = new UsersServer("app-b", UsersServer.plain("done"));
+    final UsersConfig config = new UsersConfig()
+            .service("model", true)
+            .service("app", false)
+            .route("/chat/", "stream", "model", 2, 6_000)
+            .route("/draft/", "stream", "model", 1, 6_000)
+            .route("/look/", "idempotent", "app", 2, 3_000)
+            .route("/book/", "non_idempotent", "app", 1, 3_000)
+            .account("account", "key");
+    final List<String> events = new CopyOnWriteArrayList<>();
+    final TrafficRouter router;
+    private final int port = freePort();
+    private final int readinessPort = freePort();
+
+    Deployment() {
+        model("model-a", modelA, "ready");
+        model("model-b", modelB, "ready");
+        app("app-a", appA, "ready");
+        app("app-b", appB, "ready");
+        publish();
+        Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
+                "settings", UsersSettings.text("router-1", "a", port, readinessPort, freePort(), store.port()));
+        router = TrafficRouter.start(settings.get(), Main.platform(settings.get(), this::event), this::event);
+        await("ready", () -> status("/book/x") == 200);
+    }
+
+    private void event(String event, Object... fields) {
+        events.add(event + " " + List.of(fields));
+    }
+
+    void model(String id, UsersServer server, String state) {
+        store.put("servers/" + id, UsersConfig.server("model", server.port(), "a", state, 0));
+    }
+
+    void app(String id, UsersServer server, String state) {
+        store.put("servers/" + id, UsersConfig.server("app", server.port(), "a", state, 0));
+    }
+
+    void publish() {
+        store.put("op/config", config.version());
+    }
+
+    Caller caller() throws IOException {
+        return new Caller(port);
+    }
+
+    /** Sends a request on a connection of its own and returns the answer. */
+    Caller.Answer post(String path, String id, String headers) throws IOException {
+        try (Caller caller = caller()) {
+            caller.post(path, id, headers);
+            return caller.answer();
+        }
+    }
+
+    /** Returns the status of a request, or 0 if there was no whole answer. */
+    int status(String path) {
+        try {
+            return post(path, "status", "").status();
+        } catch (IOException e) {
+            // The caller of this method decides what a missing answer means.
+            return 0;
+        }
+    }
+
+    /** Returns whether the balancer would send callers here. */
+    boolean ready() {
+        try (Caller balancer = new Caller(readinessPort)) {
+            balancer.send("GET /ready HTTP/1.1\r\nHost: ready\r\n\r\n");
+            return balancer.answer().status() == 200;
+        } catch (IOException e) {
+            // An instance that cannot be asked is not ready.
+            return false;
+        }
+    }
+
+    /** Returns how many requests with an id ran at any server. */
+    long runs(String id) {
+        return List.of(modelA, modelB, appA, appB).stream()
+                .flatMap(server -> server.runs().stream())
+                .filter(request -> request.id().equals(id))
+                .count();
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        boolean met = condition.getAsBoolean();
+        while (!met && System.nanoTime() < end) {
+            pause(10);
+            met = condition.getAsBoolean();
+        }
+        assertTrue(met, "not in time: " + what);
+    }
+
+    static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() {
+        router.close();
+        List.of(modelA, modelB, appA, appB).forEach(UsersServer::close);
+        store.close();
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
