--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
@@ -65,6 +65,8 @@
                         status,
                         "reused",
                         send.reused(),
+                        "cause",
+                        send.cause(),
                         "afterMillis",
                         afterMillis);
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
@@ -9,6 +9,7 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
 import java.util.function.Consumer;
 import org.cuminspur.traffic.UpstreamState;
 import org.xnio.IoUtils;
@@ -57,6 +58,7 @@
     private boolean reused;
     private boolean over;
     private boolean discarding;
+    private String cause = "";
 
     /**
      * Prepares a send.
@@ -79,6 +81,11 @@
         return reused;
     }
 
+    /** Returns why the connection broke, for people; empty if it did not. */
+    String cause() {
+        return cause;
+    }
+
     /** Sends the request. */
     void start(ClientRequest what, byte[] content) {
         request = what;
@@ -88,7 +95,23 @@
             reused = true;
             send(idle);
         } else {
-            connections.connect(upstream, this::connected, this::notConnected);
+            connect();
+        }
+    }
+
+    private void connect() {
+        connections.connect(upstream, this::connected, this::notConnected);
+    }
+
+    /** Takes a new connection in place of an idle one that turned out closed before a byte went over it. */
+    private void replace() {
+        IoUtils.safeClose(connection);
+        if (reused && !over) {
+            connection = null;
+            reused = false;
+            connect();
+        } else {
+            notConnected();
         }
     }
 
@@ -134,7 +157,7 @@
     private void send(ClientConnection to) {
         connection = to;
         connection.getCloseSetter().set(closed -> failSoon());
-        connection.sendRequest(request, callback(this::sendBody, this::notConnected));
+        connection.sendRequest(request, callback(this::sendBody, e -> replace()));
     }
 
     private void sendBody(ClientExchange exchange) {
@@ -142,27 +165,43 @@
         StreamSinkChannel channel = exchange.getRequestChannel();
         ByteBuffer bytes = ByteBuffer.wrap(body);
         channel.getWriteSetter().set(writable -> write(writable, bytes));
-        write(channel, bytes);
+        try {
+            writeSome(channel, bytes);
+        } catch (ClosedChannelException e) {
+            connection.getCloseSetter().set(null);
+            if (bytes.position() == 0) {
+                // This side of it was closed before the first write, so nothing was sent.
+                replace();
+            } else {
+                fail(e);
+            }
+        } catch (IOException e) {
+            fail(e);
+        }
     }
 
     private void write(StreamSinkChannel channel, ByteBuffer bytes) {
         try {
-            while (bytes.hasRemaining()) {
-                if (channel.write(bytes) == 0) {
-                    channel.resumeWrites();
-                    return;
-                }
-            }
-            channel.shutdownWrites();
-            if (!channel.flush()) {
+            writeSome(channel, bytes);
+        } catch (IOException e) {
+            fail(e);
+        }
+    }
+
+    private void writeSome(StreamSinkChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            if (channel.write(bytes) == 0) {
                 channel.resumeWrites();
                 return;
             }
-            channel.suspendWrites();
-            requestWritten = true;
-        } catch (IOException e) {
-            fail();
         }
+        channel.shutdownWrites();
+        if (!channel.flush()) {
+            channel.resumeWrites();
+            return;
+        }
+        channel.suspendWrites();
+        requestWritten = true;
     }
 
     private void answered(ClientExchange exchange) {
@@ -170,7 +209,8 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
-        keepMillis = keepMillis(response.getResponseHeaders());
+        // After an answer that came before the whole request was sent, the client may have closed its half.
+        keepMillis = requestWritten ? keepMillis(response.getResponseHeaders()) : 0;
         source = exchange.getResponseChannel();
         listener.answered(this, response.getResponseCode(), response.getResponseHeaders());
         if (over) {
@@ -202,14 +242,14 @@
                 }
             }
         } catch (IOException e) {
-            fail();
+            fail(e);
         }
     }
 
     private void finish() {
         over = true;
         connection.getCloseSetter().set(null);
-        if (requestWritten && keepMillis > 0) {
+        if (keepMillis > 0) {
             // One turn later, so that bytes which follow the answer have closed the connection by then.
             connection.getIoThread().execute(() -> connections.give(upstream, connection, keepMillis));
         } else {
@@ -222,12 +262,13 @@
 
     /** Lets a read that is under way see the end of the body first, since its end may be what closes the connection. */
     private void failSoon() {
-        connection.getIoThread().execute(this::fail);
+        connection.getIoThread().execute(() -> fail(new ClosedChannelException()));
     }
 
-    private void fail() {
+    private void fail(IOException why) {
         if (!over) {
             over = true;
+            cause = why.toString();
             abort();
             if (!discarding) {
                 listener.broken(this);
@@ -263,7 +304,8 @@
         return seconds.matches("\\d{1,6}") ? Long.parseLong(seconds) * SECOND_MS : UpstreamConnections.DEFAULT_KEEP_MS;
     }
 
-    private static ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed, Runnable failed) {
+    private static ClientCallback<ClientExchange> callback(
+            Consumer<ClientExchange> completed, Consumer<IOException> failed) {
         return new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
@@ -272,7 +314,7 @@
 
             @Override
             public void failed(IOException e) {
-                failed.run();
+                failed.accept(e);
             }
         };
     }
