--- a/org.cuminspur.router.test/tst/org/cuminspur/router/SettingsPageTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/SettingsPageTest.java
@@ -26,14 +26,19 @@
 public class SettingsPageTest {
     private static final Pattern KNOWN = Pattern.compile("known are \\[(.*)]");
     private static final String HASH = "0".repeat(64);
-    private static final Map<String, String> REQUIRED = Map.of(
-            "operators", "key = 0123456789abcdef",
-            "peers", "key = 0123456789abcdef",
-            "operator", "key = 0123456789abcdef",
-            "router", "name = a\ndomain = b",
-            "route", "service = s\npath = /",
-            "account", "key-sha256 = " + HASH,
-            "domain", "region = r");
+    private static final Map<String, String> REQUIRED = Map.ofEntries(
+            Map.entry("operators", "key = 0123456789abcdef"),
+            Map.entry("peers", "key = 0123456789abcdef"),
+            Map.entry("operator", "key = 0123456789abcdef"),
+            Map.entry("router", "name = a\ndomain = b"),
+            Map.entry("route", "service = s\npath = /"),
+            Map.entry("account", "key-sha256 = " + HASH),
+            Map.entry("domain", "region = r"),
+            Map.entry("instance", "name = a\ndomain = b"),
+            Map.entry("listen", "callers = 10.0.0.1:1\nreadiness = 10.0.0.1:2"),
+            Map.entry("store", "address = 10.0.0.1:3"));
+    private static final List<String> OF_ROUTER = List.of("router", "operators", "peers");
+    private static final List<String> OF_INSTANCE = List.of("instance", "listen", "store", "bounds");
 
     private record Row(String key, String fallback, String lowest, String highest) {}
 
@@ -84,6 +89,8 @@
                 text -> OperatorSettings.parse("f", text).fold(Function.identity(), settings -> List.of());
             case "service", "route", "account", "domain" ->
                 text -> ConfigParser.parse(Map.of("f", text)).fold(Function.identity(), config -> List.of());
+            case "instance", "listen", "store", "bounds" ->
+                text -> TrafficSettingsParser.parse("f", text).fold(Function.identity(), settings -> List.of());
             default -> text -> RouterSettingsParser.parse("f", text).fold(Function.identity(), settings -> List.of());
         };
         return parse.apply(text(kind, key, value));
@@ -100,7 +107,7 @@
         } else if (kind.equals("operator")) {
             section(text, kind, without(REQUIRED.get(kind), key), key + " = " + value);
         } else {
-            Stream.concat(Stream.of("router", "operators", "peers"), Stream.of(kind))
+            Stream.concat((OF_INSTANCE.contains(kind) ? OF_INSTANCE : OF_ROUTER).stream(), Stream.of(kind))
                     .distinct()
                     .forEach(section -> section(
                             text,
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -41,9 +41,6 @@
     /** Time past its deadline that an answer on its way is still waited for; callers allow a quarter second. */
     private static final long LAST_MOMENT_MS = 120;
 
-    /** Time after which a caller may come back to another instance; the balancer knows that this one stops. */
-    private static final long COME_BACK_ELSEWHERE_MS = 50;
-
     private static final int SERVER_ERROR = 500;
     private static final int REDIRECTION = 300;
 
@@ -102,7 +99,7 @@
         } else if (found.isLeft()) {
             refuse(found.getLeft());
         } else if (!traffic.stop().takes(arrivedMillis, found.get().deadlineMillis())) {
-            refuse(new Refusal(ErrorKind.STOPPING, "", COME_BACK_ELSEWHERE_MS));
+            refuse(Refusal.of(ErrorKind.STOPPING));
         } else {
             begin(found.get());
         }
@@ -290,7 +287,8 @@
         }
     }
 
-    private void refuse(Refusal refusal) {
+    private void refuse(Refusal why) {
+        Refusal refusal = traffic.returnTime().refusal(why.kind(), why.detail());
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, "text/plain");
         traffic.dialect().refuse(headers, call, refusal);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
@@ -11,6 +11,7 @@
 import org.cuminspur.traffic.FleetRetryBudget;
 import org.cuminspur.traffic.Freshness;
 import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.ReturnTime;
 import org.cuminspur.traffic.TrafficBounds;
 import org.cuminspur.traffic.UpstreamBoard;
 
@@ -36,6 +37,7 @@
         Map<ServiceId, FleetRetryBudget> retryBudgets,
         ConfirmationQueue confirmations,
         CallerConnections callers,
+        ReturnTime returnTime,
         StopState stop) {
     TrafficContext {
         retryBudgets = new HashMap<>(retryBudgets);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -22,6 +22,7 @@
 import org.cuminspur.traffic.FleetView;
 import org.cuminspur.traffic.Freshness;
 import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.ReturnTime;
 import org.cuminspur.traffic.UpstreamBoard;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -96,6 +97,7 @@
                 Map.of(),
                 new ConfirmationQueue(freshness, clock, settings.bounds().revokeMillis(), confirmSoon),
                 new CallerConnections(),
+                new ReturnTime(random::nextDouble),
                 new StopState());
         server = Undertow.builder()
                 .setWorker(worker)
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/ReturnTimeTest.java
@@ -0,0 +1,33 @@
+package org.cuminspur.traffic;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.cuminspur.errors.ErrorKind;
+import org.testng.annotations.Test;
+
+/** Checks that callers who are refused at the same moment come back apart. */
+public class ReturnTimeTest {
+    private static final int CALLERS = 1_000;
+    private static final long SLICE_MS = 20;
+
+    @Test
+    public void aCrowdThatIsRefusedAtOnceReturnsSpread() {
+        ReturnTime times = new ReturnTime(new Random(7)::nextDouble);
+        Map<Long, Long> slices = IntStream.range(0, CALLERS)
+                .mapToObj(i -> times.refusal(ErrorKind.NO_UPSTREAM, "").retryAfterMillis() / SLICE_MS)
+                .collect(Collectors.groupingBy(slice -> slice, Collectors.counting()));
+        long most = slices.values().stream().mapToLong(count -> count).max().orElseThrow();
+        assertTrue(most <= CALLERS / 5, "of " + CALLERS + ", " + most + " return within " + SLICE_MS + " ms");
+    }
+
+    @Test
+    public void anotherInstanceIsTriedSoonerThanAFullUpstream() {
+        ReturnTime times = new ReturnTime(() -> 1);
+        assertTrue(times.refusal(ErrorKind.STOPPING, "").retryAfterMillis()
+                < times.refusal(ErrorKind.UPSTREAM_REFUSED, "").retryAfterMillis());
+    }
+}
