Call the store less often the larger the fleet is

Change: changes gather for 10 ms for each instance of the fleet (0.7 s at most), confirmations 1.0 to 1.6 s apart, one writer of a table at a time.

--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/StorePaceTest.java
@@ -0,0 +1,23 @@
+package org.cuminspur.traffic;
+
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that a fleet's calls grow more slowly than the fleet and no bound on changes is missed for it. */
+public class StorePaceTest {
+    /** Calls a second that the store takes at the sizes that the users name, waiting watches included. */
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{6, 2_000, 2_000}, {83, 6_000, 3_000}, {360, 6_000, 3_000}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void constantChangeStaysWithinTheStoresRateAndTheBound(int instances, int callsPerSecond, int boundMillis) {
+        double perInstance = 1_000.0 / StorePace.gatherMillis(instances) + 1_000.0 / StorePace.confirmMillis(instances);
+        assertTrue(instances * perInstance <= callsPerSecond / 2.0, "calls " + instances * perInstance);
+        assertTrue(StorePace.gatherMillis(instances) <= boundMillis / 2);
+        assertTrue(StorePace.confirmMillis(instances) <= boundMillis * 2 / 3);
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/store/Store.java
+++ b/org.cuminspur/src/org/cuminspur/store/Store.java
@@ -35,5 +35,8 @@
     interface Watch {
         /** Ends the watch; may be called more than once. */
         void close();
+
+        /** Sets for how long, after a change, more changes may gather before they are told; a hint. */
+        default void gather(long millis) {}
     }
 }
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -24,9 +24,6 @@
  * behind it. Changes older than what was read before are ignored, so nothing goes back.
  */
 public final class FleetFeed {
-    /** Time between confirmations; a third of the shortest bound that rests on them, which is 2 s or more. */
-    private static final long CONFIRM_EVERY_MS = 1_000;
-
     /** Time that the watch is given to bring what a confirmation has seen; some round trips to the store. */
     private static final long WATCH_BEHIND_MS = 150;
 
@@ -59,6 +56,8 @@
     private long retryMillis = FIRST_RETRY_MS;
     private long nextConfirmMillis = Long.MIN_VALUE;
     private boolean away;
+    private Store.Watch watch = () -> {};
+    private int fleetSize = 1;
     private boolean watching;
     private boolean loading;
     private boolean confirming;
@@ -91,7 +90,7 @@
     public void start() {
         context.timer().after(0, this::load);
         context.timer().after(0, prompts::start);
-        context.timer().after(CONFIRM_EVERY_MS, this::confirmRegularly);
+        context.timer().after(StorePace.confirmMillis(fleetSize), this::confirmRegularly);
     }
 
     /** Asks for a confirmation at once, unless one has just been tried; may be called on any thread. */
@@ -106,7 +105,7 @@
     private void confirmRegularly() {
         expire();
         confirm();
-        context.timer().after(CONFIRM_EVERY_MS, this::confirmRegularly);
+        context.timer().after(StorePace.confirmMillis(fleetSize), this::confirmRegularly);
     }
 
     private void confirm() {
@@ -196,7 +195,9 @@
     private void watch() {
         if (!watching) {
             watching = true;
-            store.watch("", appliedRevision, view -> onThread(() -> changed(view)), () -> onThread(this::watchEnded));
+            watch = store.watch(
+                    "", appliedRevision, view -> onThread(() -> changed(view)), () -> onThread(this::watchEnded));
+            watch.gather(StorePace.gatherMillis(fleetSize));
         }
     }
 
@@ -303,6 +304,10 @@
     private void publishIf(boolean changed) {
         if (changed) {
             FleetView view = directory.view();
+            if (view.instances().size() != fleetSize) {
+                fleetSize = view.instances().size();
+                watch.gather(StorePace.gatherMillis(fleetSize));
+            }
             publish.accept(view.with(prompts.heal(view)));
         }
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptTables.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptTables.java
@@ -29,8 +29,11 @@
     /** Time without change after which a first table is stored; upstreams start within a few seconds. */
     private static final long SETTLED_MS = 3_000;
 
-    /** Pause before a write for each instance that goes first; a few round trips to the store. */
-    private static final long TURN_MS = 250;
+    /** Pause before a write, in which more changes gather. */
+    private static final long GATHER_MS = 500;
+
+    /** Further pause for each instance that goes first; longer than its write takes to be seen by all. */
+    private static final long TURN_MS = 1_500;
 
     /** Pause after a write that failed; the table serves without being stored. */
     private static final long RETRY_MS = 2_000;
@@ -118,9 +121,9 @@
         }
         long settle =
                 stored.containsKey(service) ? 0 : Math.max(0, changedMillis.get(service) + SETTLED_MS - clock.millis());
-        long turn =
-                1 + view.instances().stream().takeWhile(id -> !id.equals(self)).count();
-        timer.after(settle + turn * TURN_MS, () -> {
+        long before =
+                view.instances().stream().takeWhile(id -> !id.equals(self)).count();
+        timer.after(settle + GATHER_MS + before * TURN_MS, () -> {
             // A later change has planned a write of its own.
             if (table.equals(planned.get(service))) {
                 planned.remove(service);
