--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersTrial.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersTrial.java
@@ -9,7 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.IntStream;
 
 /**
@@ -33,7 +35,7 @@
     private static final long TIMEOUT_MS = 10_000;
 
     private final UsersStore store = new UsersStore();
-    private final UsersServer engine = new UsersServer("engine", UsersServer.stream(20));
+    private final UsersServer engine;
     private final UsersServer plain = new UsersServer("plain", UsersServer.plain("done"));
     private final UsersConfig config = new UsersConfig()
             .service("model", true)
@@ -46,9 +48,15 @@
     private final List<String> command;
     private Process router;
 
-    /** Prepares a trial of a command. */
+    /** Prepares a trial of a command whose engine answers with twenty events at once. */
     public UsersTrial(List<String> command) {
+        this(command, UsersServer.stream(20));
+    }
+
+    /** Prepares a trial of a command. */
+    public UsersTrial(List<String> command, UsersServer.Behaviour engineBehaviour) {
         this.command = List.copyOf(command);
+        engine = new UsersServer("engine", engineBehaviour);
         IntStream.range(0, IDLE_ROUTES)
                 .forEach(number -> config.route("/idle-" + number + "/", "idempotent", "app", 2, TIMEOUT_MS));
         store.put("servers/engine", UsersConfig.server("model", engine.port(), "a", "ready", 0));
@@ -105,6 +113,29 @@
         }
     }
 
+    /** Sends requests for streams at the same time and waits for their ends; returns how many were served. */
+    public long streams(int count) throws InterruptedException {
+        LongAdder served = new LongAdder();
+        CountDownLatch ended = new CountDownLatch(count);
+        IntStream.range(0, count)
+                .forEach(number -> new Thread(() -> {
+                            served.add(served(CHAT) ? 1 : 0);
+                            ended.countDown();
+                        })
+                        .start());
+        ended.await();
+        return served.sum();
+    }
+
+    /** Returns the memory that the router has resident, in kilobytes. */
+    public long residentKilobytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(router.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Returns the processor time that the router has used so far, in milliseconds. */
     public long processorMillis() {
         return router.info().totalCpuDuration().orElseThrow().toMillis();
