--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
@@ -40,7 +40,14 @@
         Freshness freshness = new Freshness(clock, wall);
         Timer timer = this::later;
         server = new TrafficServer(
-                settings, platform.dialect(), clock, freshness, this::confirmSoon, events, new MetricRegistry());
+                settings,
+                platform.dialect(),
+                clock,
+                freshness,
+                this::confirmSoon,
+                this::storeAway,
+                events,
+                new MetricRegistry());
         FleetFeed.Context context = new FleetFeed.Context(clock, timer, freshness, settings.bounds(), events);
         feed = new FleetFeed(
                 platform.store(),
@@ -92,6 +99,10 @@
         feed.confirmSoon();
     }
 
+    private boolean storeAway() {
+        return feed.storeAway();
+    }
+
     private void later(long delayMillis, Runnable action) {
         if (!control.isShutdown()) {
             control.schedule(() -> run(action), delayMillis, TimeUnit.MILLISECONDS);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cuminspur.time.Clock;
 import org.cuminspur.traffic.Freshness;
@@ -28,13 +29,22 @@
     private final Clock clock;
     private final long limitMillis;
     private final Runnable confirmSoon;
+    private final BooleanSupplier storeAway;
     private List<Waiting> queue = new ArrayList<>();
 
-    ConfirmationQueue(Freshness freshness, Clock clock, long revokeMillis, Runnable confirmSoon) {
+    /**
+     * Makes an empty queue.
+     *
+     * @param confirmSoon asks for a confirmation; may be called on any thread
+     * @param storeAway tells that none is to be expected; may be called on any thread
+     */
+    ConfirmationQueue(
+            Freshness freshness, Clock clock, long revokeMillis, Runnable confirmSoon, BooleanSupplier storeAway) {
         this.freshness = freshness;
         this.clock = clock;
         this.limitMillis = (long) (USED * revokeMillis);
         this.confirmSoon = confirmSoon;
+        this.storeAway = storeAway;
     }
 
     /** Returns whether keys can be trusted now. */
@@ -42,8 +52,12 @@
         return freshness.ageMillis() < limitMillis;
     }
 
-    /** Calls back once keys can be trusted, or in vain after a time. */
+    /** Calls back once keys can be trusted, or in vain after a time; at once if the store is away. */
     void whenCurrent(long longestWaitMillis, Consumer<Boolean> then) {
+        if (storeAway.getAsBoolean()) {
+            then.accept(false);
+            return;
+        }
         queue.add(new Waiting(clock.millis() + longestWaitMillis, then));
         confirmSoon.run();
     }
@@ -58,7 +72,7 @@
         List<Waiting> before = queue;
         queue = new ArrayList<>();
         before.forEach(one -> {
-            if (current || now >= one.untilMillis()) {
+            if (current || now >= one.untilMillis() || storeAway.getAsBoolean()) {
                 one.then().accept(current);
             } else {
                 queue.add(one);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -41,6 +41,12 @@
     /** Time past its deadline that an answer on its way is still waited for; callers allow a quarter second. */
     private static final long LAST_MOMENT_MS = 120;
 
+    /** Least time in which an answer can come; a request with less is not worth an upstream's slot. */
+    private static final long LEAST_USEFUL_MS = 30;
+
+    /** Part of a caller's patience that it may wait for a start, so that it can still turn to another instance. */
+    private static final double PATIENCE_FOR_START = 0.6;
+
     private static final int SERVER_ERROR = 500;
     private static final int REDIRECTION = 300;
 
@@ -90,9 +96,7 @@
         boolean current = traffic.confirmations().current();
         if (!current && (found.isLeft() || found.get().keyed())) {
             if (mayWait) {
-                boolean starting = traffic.board().view().routes().isEmpty();
-                long wait = starting ? ConfirmationQueue.START_WAIT_MS : ConfirmationQueue.CONFIRM_WAIT_MS;
-                traffic.confirmations().whenCurrent(wait, confirmed -> route(false));
+                traffic.confirmations().whenCurrent(longestWait(), confirmed -> route(false));
             } else {
                 refuse(Refusal.of(ErrorKind.NOT_READY));
             }
@@ -105,6 +109,14 @@
         }
     }
 
+    private long longestWait() {
+        if (traffic.board().view().routes().isPresent()) {
+            return ConfirmationQueue.CONFIRM_WAIT_MS;
+        }
+        double patience = PATIENCE_FOR_START * call.patienceMillis().orElse(Long.MAX_VALUE);
+        return (long) Math.min(ConfirmationQueue.START_WAIT_MS, patience);
+    }
+
     private void begin(RoutedCall known) {
         routed = known;
         long left = routed.deadlineMillis() - now() + LAST_MOMENT_MS;
@@ -131,6 +143,10 @@
 
     private void place() {
         long now = now();
+        if (routed.deadlineMillis() - now < LEAST_USEFUL_MS) {
+            step(attempts.after(new AttemptEvent.NoTime()));
+            return;
+        }
         OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
         Optional<UpstreamId> owner = Optional.ofNullable(
                         traffic.board().view().prompts().get(routed.service()))
@@ -288,6 +304,10 @@
     }
 
     private void refuse(Refusal why) {
+        if (relay.begun()) {
+            cut(why.kind().label());
+            return;
+        }
         Refusal refusal = traffic.returnTime().refusal(why.kind(), why.detail());
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, "text/plain");
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cuminspur.event.EventSink;
 import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.router.TrafficSettings;
@@ -67,6 +68,7 @@
      * Prepares the servers.
      *
      * @param confirmSoon asks for a confirmation of the view; may be called on any thread
+     * @param storeAway tells that none is to be expected; may be called on any thread
      */
     public TrafficServer(
             TrafficSettings settings,
@@ -74,6 +76,7 @@
             Clock clock,
             Freshness freshness,
             Runnable confirmSoon,
+            BooleanSupplier storeAway,
             EventSink events,
             MetricRegistry metrics) {
         worker = worker();
@@ -95,7 +98,7 @@
                 metrics,
                 ByteBuffer.allocateDirect(BUFFER_BYTES),
                 Map.of(),
-                new ConfirmationQueue(freshness, clock, settings.bounds().revokeMillis(), confirmSoon),
+                new ConfirmationQueue(freshness, clock, settings.bounds().revokeMillis(), confirmSoon, storeAway),
                 new CallerConnections(),
                 new ReturnTime(random::nextDouble),
                 new StopState());
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
@@ -96,6 +96,22 @@
         assertTrue(store.reads() - before <= 20, "calls " + (store.reads() - before));
     }
 
+    @Test
+    public void aWatchThatGathersChangesIsNotTakenForADeafOne() {
+        for (int i = 0; i < 83; i++) {
+            write("instance/i" + i, "a");
+        }
+        time.run(3_000);
+        long before = store.reads();
+        for (int i = 0; i < 20; i++) {
+            time.run(400);
+            write("upstream/u" + i, "ready");
+        }
+        time.run(1_000);
+        long confirmations = 9_000 / StorePace.confirmMillis(83) + 1;
+        assertTrue(store.reads() - before <= confirmations, "reads " + (store.reads() - before));
+    }
+
     @Test
     public void whatLapsedInAnOutageIsKeptUntilItHadTimeToComeBack() {
         store.faults().outage(true);
--- a/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
@@ -85,7 +85,7 @@
         watches++;
         RunningWatch watch = new RunningWatch(prefix, changes, ended);
         time.after(delay(), () -> watch.start(afterRevision));
-        return watch::end;
+        return watch;
     }
 
     @Override
@@ -133,12 +133,13 @@
     }
 
     /** One watch; it breaks at the first change that meets an outage. */
-    private final class RunningWatch {
+    private final class RunningWatch implements Watch {
         private final String prefix;
         private final Consumer<StoreView> changes;
         private final Runnable ended;
         private final BiConsumer<Long, List<StoreEntry>> listener = this::changed;
         private boolean done;
+        private long gatherMillis;
 
         RunningWatch(String prefix, Consumer<StoreView> changes, Runnable ended) {
             this.prefix = prefix;
@@ -157,6 +158,16 @@
             }
         }
 
+        @Override
+        public void close() {
+            end();
+        }
+
+        @Override
+        public void gather(long millis) {
+            gatherMillis = millis;
+        }
+
         void end() {
             if (!done) {
                 done = true;
@@ -172,7 +183,7 @@
             if (faults.outage()) {
                 time.after(0, this::end);
             } else if (!seen.isEmpty() && !done && !faults.silentWatches()) {
-                time.after(delay(), () -> changes.accept(new StoreView(revision, seen)));
+                time.after(gatherMillis + delay(), () -> changes.accept(new StoreView(revision, seen)));
             }
         }
     }
--- a/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
+++ b/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
@@ -5,6 +5,9 @@
     /** No upstream can take the request. */
     record NoUpstream() implements AttemptEvent {}
 
+    /** Too little time is left to send the request. */
+    record NoTime() implements AttemptEvent {}
+
     /** No connection could be made, so no byte of the request was sent. */
     record NotConnected() implements AttemptEvent {}
 
--- a/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
+++ b/org.cuminspur/src/org/cuminspur/retry/RequestAttempts.java
@@ -49,6 +49,8 @@
     public NextStep after(AttemptEvent event) {
         if (event instanceof AttemptEvent.NoUpstream) {
             return new NextStep.Refuse(last);
+        } else if (event instanceof AttemptEvent.NoTime) {
+            return refuseLate();
         } else if (event instanceof AttemptEvent.NotConnected) {
             return failed(ErrorKind.UPSTREAM_UNREACHABLE);
         } else if (event instanceof AttemptEvent.Broken) {
@@ -96,12 +98,16 @@
     private NextStep failed(ErrorKind kind) {
         note(Refusal.of(kind));
         if (expired()) {
-            ErrorKind late = mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.DEADLINE_BEFORE_SEND;
-            return new NextStep.Refuse(Refusal.of(late));
+            return refuseLate();
         }
         return mayRetry() ? new NextStep.Send() : new NextStep.Refuse(last);
     }
 
+    private NextStep refuseLate() {
+        return new NextStep.Refuse(
+                Refusal.of(mayHaveRun ? ErrorKind.DEADLINE_AFTER_SEND : ErrorKind.DEADLINE_BEFORE_SEND));
+    }
+
     private NextStep refused(AttemptEvent.Refused refused) {
         ErrorKind kind = refused.notRun() ? ErrorKind.UPSTREAM_REFUSED : ErrorKind.UPSTREAM_BUSY;
         boolean earlierMayHaveRun = mayHaveRun;
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -19,13 +19,13 @@
 /**
  * Keeps a view of the fleet current from the platform's store.
  *
- * <p>Used on the timer's thread only, but for {@link #confirmSoon}. One watch brings changes; since a watch that is
+ * <p>Used on the timer's thread only, but for {@link #confirmSoon} and {@link #storeAway}. One watch brings changes; since a watch that is
  * quiet proves nothing, a small read at intervals tells the store's revision, and all is read again if the watch is
  * behind it. Changes older than what was read before are ignored, so nothing goes back.
  */
 public final class FleetFeed {
-    /** Time that the watch is given to bring what a confirmation has seen; some round trips to the store. */
-    private static final long WATCH_BEHIND_MS = 150;
+    /** Time that the watch is given to bring what a confirmation has seen, besides that in which changes gather. */
+    private static final long WATCH_BEHIND_MS = 200;
 
     /** First pause after a failed call, doubled up to the longest. */
     private static final long FIRST_RETRY_MS = 200;
@@ -55,7 +55,7 @@
     private long returnedMillis = Long.MIN_VALUE;
     private long retryMillis = FIRST_RETRY_MS;
     private long nextConfirmMillis = Long.MIN_VALUE;
-    private boolean away;
+    private volatile boolean away;
     private Store.Watch watch = () -> {};
     private int fleetSize = 1;
     private boolean watching;
@@ -102,6 +102,11 @@
         });
     }
 
+    /** Returns whether the store has not answered for a while; may be called on any thread. */
+    public boolean storeAway() {
+        return away;
+    }
+
     private void confirmRegularly() {
         expire();
         confirm();
@@ -131,7 +136,8 @@
         } else if (revision <= appliedRevision) {
             context.freshness().confirm(began);
         } else {
-            context.timer().after(WATCH_BEHIND_MS, () -> caughtUp(began, revision));
+            long wait = WATCH_BEHIND_MS + StorePace.gatherMillis(fleetSize);
+            context.timer().after(wait, () -> caughtUp(began, revision));
         }
     }
 
--- a/platform.test/tst/org/cuminspur/platform/AnswersTest.java
+++ b/platform.test/tst/org/cuminspur/platform/AnswersTest.java
@@ -158,6 +158,24 @@
         assertEquals(deployment.post("/chat/x", "resumed", "").body(), EVENTS);
     }
 
+    @Test
+    public void aStreamThatCannotGoOnAnywhereNeverLooksWhole() throws IOException {
+        models((connection, request) -> {
+            cutAfter(connection, request, 3);
+            return false;
+        });
+        deployment.store.remove("servers/model-b");
+        Deployment.pause(300);
+        try (Caller caller = deployment.caller()) {
+            caller.post("/chat/x", "cut-twice", "");
+            String all = caller.rest();
+            assertFalse(all.contains("\r\n0\r\n"), all);
+            assertTrue(all.contains("token-3"), all);
+        } finally {
+            deployment.model("model-b", deployment.modelB, "ready");
+        }
+    }
+
     @Test
     public void aCutStreamNeverLooksWhole() throws IOException {
         models((connection, request) -> {
--- a/platform.test/tst/org/cuminspur/platform/BeliefsTest.java
+++ b/platform.test/tst/org/cuminspur/platform/BeliefsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import org.cuminspur.standin.users.StoreSwitches;
 import org.cuminspur.standin.users.UsersServer;
 import org.testng.annotations.AfterMethod;
@@ -36,7 +37,10 @@
         deployment.store.switches().mode(StoreSwitches.Mode.REFUSING);
         assertEquals(deployment.status("/book/x"), 200);
         Deployment.pause(4_500);
+        long began = System.nanoTime();
         assertEquals(deployment.status("/book/x"), 503);
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+        assertTrue(millis < 200, "refused only after " + millis + " ms");
         assertTrue(!deployment.ready());
         deployment.store.switches().mode(StoreSwitches.Mode.UP);
         Deployment.await("served again", () -> deployment.status("/book/x") == 200 && deployment.ready());
