Split the feed, the flow and the watch; the store is away only past the time of its next answer

In fleets of dozens confirmations are 1.6 s apart, but a silence of 1.5 s counted as absence, so that every second removal was kept for 2.6 s as if it had lapsed. Read in the code while it was split; test added (anUpstreamThatLeavesALargeFleetIsGoneAtOnce).

--- /dev/null
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
@@ -0,0 +1,39 @@
+package org.cuminspur.http.client;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import java.io.IOException;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+
+/** What all users of Undertow's client connections need; stateless and thread-safe. */
+public final class ClientConnections {
+    private ClientConnections() {}
+
+    /** Closes a connection's channel, since closing the connection itself first waits for the rest of the answer. */
+    public static void abort(ClientConnection connection) {
+        try {
+            IoUtils.safeClose(connection.performUpgrade());
+        } catch (IOException e) {
+            // It cannot be taken over any more, so nothing waits for an answer either.
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    /** Returns a callback made of two functions. */
+    public static ClientCallback<ClientExchange> callback(
+            Consumer<ClientExchange> completed, Consumer<IOException> failed) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                completed.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                failed.accept(e);
+            }
+        };
+    }
+}
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -1,6 +1,5 @@
 package org.cuminspur.http.internal.client;
 
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -18,9 +17,9 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
 import java.util.stream.StreamSupport;
 import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.ClientConnections;
 import org.cuminspur.http.client.HttpCall;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.http.client.HttpStream;
@@ -107,16 +106,7 @@
     /** Decides on the input-output thread, since the connection may have gone back and serve another call by now. */
     private void closeUnlessReleased() {
         if (!released && connection.isOpen()) {
-            abort();
-        }
-    }
-
-    /** Closes the connection's channel, since closing the connection itself first waits for the rest of the answer. */
-    private void abort() {
-        try {
-            IoUtils.safeClose(connection.performUpgrade());
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
+            ClientConnections.abort(connection);
         }
     }
 
@@ -149,7 +139,8 @@
                         request.getRequestHeaders().add(HttpString.tryFromString(header.name()), header.value()));
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
         connection.getCloseSetter().set(closed -> failSoon());
-        connection.sendRequest(request, callback(exchange -> sendBody(exchange, call.body())));
+        connection.sendRequest(
+                request, ClientConnections.callback(exchange -> sendBody(exchange, call.body()), this::fail));
     }
 
     /** Lets a read that is under way see the end of the body first, since its end may be what closes the connection. */
@@ -163,7 +154,7 @@
     }
 
     private void sendBody(ClientExchange exchange, byte[] bytes) {
-        exchange.setResponseListener(callback(this::answered));
+        exchange.setResponseListener(ClientConnections.callback(this::answered, this::fail));
         StreamSinkChannel channel = exchange.getRequestChannel();
         ByteBuffer buffer = ByteBuffer.wrap(bytes);
         channel.getWriteSetter().set(writable -> write(writable, buffer));
@@ -213,18 +204,4 @@
         body.fail();
         closeUnlessReleased();
     }
-
-    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> completed) {
-        return new ClientCallback<>() {
-            @Override
-            public void completed(ClientExchange exchange) {
-                completed.accept(exchange);
-            }
-
-            @Override
-            public void failed(IOException e) {
-                fail(e);
-            }
-        };
-    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ClientWatch.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/ClientWatch.java
@@ -1,4 +1,4 @@
-package org.cuminspur.router.internal.traffic;
+package org.cuminspur.router.internal.caller;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
@@ -13,7 +13,7 @@
  * the connection reads its next request, since an answer of known length is complete with its last byte. Bytes that
  * come earlier are handed back to the connection.
  */
-final class ClientWatch {
+public final class ClientWatch {
     private final HttpServerConnection connection;
 
     /** Reads from the connection itself; the exchange's own channel tells the end of the request's body. */
@@ -22,7 +22,12 @@
     private final Runnable gone;
     private boolean stopped;
 
-    ClientWatch(HttpServerExchange exchange, Runnable gone) {
+    /**
+     * Makes a watch that has not started.
+     *
+     * @param gone runs once if the caller closes its connection
+     */
+    public ClientWatch(HttpServerExchange exchange, Runnable gone) {
         this.connection = (HttpServerConnection) exchange.getConnection();
         this.source = connection.getOriginalSourceConduit();
         this.gone = gone;
@@ -32,16 +37,17 @@
         });
     }
 
-    void start() {
+    /** Starts to watch. */
+    public void start() {
         // Bytes that wait to be parsed belong to the next request.
-        if (connection.getExtraBytes() == null) {
+        if (!stopped && connection.getExtraBytes() == null) {
             connection.getChannel().getSourceChannel().setReadListener(channel -> read());
             source.resumeReads();
         }
     }
 
     /** Stops watching; has no effect once the connection has gone on. */
-    void stop() {
+    public void stop() {
         if (!stopped) {
             stopped = true;
             source.suspendReads();
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptPlanner.java
@@ -0,0 +1,56 @@
+package org.cuminspur.router.internal.traffic;
+
+import io.undertow.client.ClientRequest;
+import io.undertow.server.HttpServerExchange;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.cuminspur.id.AccountId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.Choice;
+import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.SendHead;
+import org.cuminspur.traffic.TrafficAccount;
+
+/** Says where the next attempt of one request goes, and what is sent there; used on the traffic thread. */
+final class AttemptPlanner {
+    private final TrafficContext traffic;
+    private final CallHead call;
+
+    AttemptPlanner(TrafficContext traffic, CallHead call) {
+        this.traffic = traffic;
+        this.call = call;
+    }
+
+    /** Returns the upstream for the next attempt, empty if none may take it now. */
+    Optional<Choice> choose(RoutedCall routed, Set<UpstreamId> tried, long now) {
+        OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
+        Optional<UpstreamId> owner = Optional.ofNullable(
+                        traffic.board().view().prompts().get(routed.service()))
+                .filter(table -> key.isPresent())
+                .map(table -> table.owner(key.getAsLong()));
+        PromptPlacement.Demand demand = new PromptPlacement.Demand(key, owner, tried);
+        return traffic.placement().choose(traffic.board().of(routed.service()), demand, now);
+    }
+
+    /**
+     * Returns the request for an upstream.
+     *
+     * @param passedOn the last event that the caller has got, if its stream is to go on
+     */
+    ClientRequest request(
+            HttpServerExchange exchange,
+            int bodyBytes,
+            RoutedCall routed,
+            UpstreamId upstream,
+            OptionalLong passedOn,
+            long now) {
+        Optional<String> after =
+                passedOn.isPresent() ? Optional.of(Long.toString(passedOn.getAsLong())) : call.lastEventId();
+        Optional<AccountId> account = routed.account().map(TrafficAccount::id);
+        long left = Math.max(1, routed.deadlineMillis() - now);
+        SendHead head = new SendHead(left, upstream, account, routed.urgency(), after);
+        return UpstreamRequests.of(exchange, bodyBytes, traffic.dialect(), call, head);
+    }
+}
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.cuminspur.router.internal.traffic;
 
-import io.undertow.client.ClientRequest;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
@@ -9,24 +8,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
-import org.cuminspur.id.AccountId;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.retry.AttemptEvent;
 import org.cuminspur.retry.NextStep;
 import org.cuminspur.retry.RequestAttempts;
 import org.cuminspur.retry.RetryTerms;
+import org.cuminspur.router.internal.caller.ClientWatch;
 import org.cuminspur.traffic.AnswerHead;
 import org.cuminspur.traffic.CallHead;
 import org.cuminspur.traffic.Choice;
 import org.cuminspur.traffic.FleetRetryBudget;
-import org.cuminspur.traffic.PromptPlacement;
-import org.cuminspur.traffic.SendHead;
-import org.cuminspur.traffic.TrafficAccount;
 import org.cuminspur.traffic.UpstreamState;
 import org.xnio.XnioExecutor;
 
@@ -58,6 +53,7 @@
     private final CallerReply reply;
     private final ClientWatch watch;
     private final FlowLog log;
+    private final AttemptPlanner planner;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final EventRelay relay = new EventRelay();
     private RoutedCall routed;
@@ -78,6 +74,7 @@
         this.reply = new CallerReply(exchange, this);
         this.watch = new ClientWatch(exchange, this::gone);
         this.log = new FlowLog(traffic, call);
+        this.planner = new AttemptPlanner(traffic, call);
     }
 
     void start() {
@@ -147,13 +144,7 @@
             step(attempts.after(new AttemptEvent.NoTime()));
             return;
         }
-        OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
-        Optional<UpstreamId> owner = Optional.ofNullable(
-                        traffic.board().view().prompts().get(routed.service()))
-                .filter(table -> key.isPresent())
-                .map(table -> table.owner(key.getAsLong()));
-        PromptPlacement.Demand demand = new PromptPlacement.Demand(key, owner, tried);
-        Optional<Choice> chosen = traffic.placement().choose(traffic.board().of(routed.service()), demand, now);
+        Optional<Choice> chosen = planner.choose(routed, tried, now);
         if (chosen.isEmpty()) {
             step(attempts.after(new AttemptEvent.NoUpstream()));
             return;
@@ -165,17 +156,7 @@
         send = new UpstreamSend(upstream, traffic.connections(), traffic.buffer(), this);
         upstream.started(send, now);
         upstream.health().tried(now);
-        send.start(request(upstream, now), body);
-    }
-
-    private ClientRequest request(UpstreamState upstream, long now) {
-        OptionalLong passedOn = relay.resumePoint();
-        Optional<String> after =
-                passedOn.isPresent() ? Optional.of(Long.toString(passedOn.getAsLong())) : call.lastEventId();
-        Optional<AccountId> account = routed.account().map(TrafficAccount::id);
-        long left = Math.max(1, routed.deadlineMillis() - now);
-        SendHead head = new SendHead(left, upstream.id(), account, routed.urgency(), after);
-        return UpstreamRequests.of(exchange, body.length, traffic.dialect(), call, head);
+        send.start(planner.request(exchange, body.length, routed, upstream.id(), relay.resumePoint(), now), body);
     }
 
     @Override
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
@@ -1,6 +1,5 @@
 package org.cuminspur.router.internal.traffic;
 
-import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
@@ -10,7 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
-import java.util.function.Consumer;
+import org.cuminspur.http.client.ClientConnections;
 import org.cuminspur.traffic.UpstreamState;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -157,11 +156,11 @@
     private void send(ClientConnection to) {
         connection = to;
         connection.getCloseSetter().set(closed -> failSoon());
-        connection.sendRequest(request, callback(this::sendBody, e -> replace()));
+        connection.sendRequest(request, ClientConnections.callback(this::sendBody, e -> replace()));
     }
 
     private void sendBody(ClientExchange exchange) {
-        exchange.setResponseListener(callback(this::answered, this::fail));
+        exchange.setResponseListener(ClientConnections.callback(this::answered, this::fail));
         StreamSinkChannel channel = exchange.getRequestChannel();
         ByteBuffer bytes = ByteBuffer.wrap(body);
         channel.getWriteSetter().set(writable -> write(writable, bytes));
@@ -276,16 +275,10 @@
         }
     }
 
-    /** Closes the connection's channel, since closing the connection itself first waits for the rest of the answer. */
     private void abort() {
-        if (connection == null) {
-            return;
-        }
-        connection.getCloseSetter().set(null);
-        try {
-            IoUtils.safeClose(connection.performUpgrade());
-        } catch (IOException e) {
-            IoUtils.safeClose(connection);
+        if (connection != null) {
+            connection.getCloseSetter().set(null);
+            ClientConnections.abort(connection);
         }
     }
 
@@ -303,19 +296,4 @@
         String seconds = keep.substring(at + "timeout=".length()).split("[,; ]", 2)[0];
         return seconds.matches("\\d{1,6}") ? Long.parseLong(seconds) * SECOND_MS : UpstreamConnections.DEFAULT_KEEP_MS;
     }
-
-    private static ClientCallback<ClientExchange> callback(
-            Consumer<ClientExchange> completed, Consumer<IOException> failed) {
-        return new ClientCallback<>() {
-            @Override
-            public void completed(ClientExchange exchange) {
-                completed.accept(exchange);
-            }
-
-            @Override
-            public void failed(IOException e) {
-                failed.accept(e);
-            }
-        };
-    }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
@@ -96,6 +96,17 @@
         assertTrue(store.reads() - before <= 20, "calls " + (store.reads() - before));
     }
 
+    @Test
+    public void anUpstreamThatLeavesALargeFleetIsGoneAtOnce() {
+        for (int i = 0; i < 83; i++) {
+            write("instance/i" + i, "a");
+        }
+        time.run(20_000);
+        remove("upstream/one");
+        time.run(1_000);
+        assertFalse(view.upstreams().containsKey(ONE));
+    }
+
     @Test
     public void aWatchThatGathersChangesIsNotTakenForADeafOne() {
         for (int i = 0; i < 83; i++) {
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -27,16 +27,8 @@
     /** Time that the watch is given to bring what a confirmation has seen, besides that in which changes gather. */
     private static final long WATCH_BEHIND_MS = 200;
 
-    /** First pause after a failed call, doubled up to the longest. */
-    private static final long FIRST_RETRY_MS = 200;
-
-    private static final long LONGEST_RETRY_MS = 800;
-
     /** Least time between two confirmations, however many requests ask for one. */
-    private static final long CONFIRM_GAP_MS = 100;
-
-    /** The store counts as away if nothing was heard for this long; an entry lapses after three seconds or more. */
-    private static final long AWAY_AFTER_MS = 1_500;
+    private static final long CONFIRM_GAP_MS = 200;
 
     /** What the feed needs from its process; immutable. */
     public record Context(Clock clock, Timer timer, Freshness freshness, TrafficBounds bounds, EventSink events) {}
@@ -48,20 +40,16 @@
     private final Consumer<FleetView> publish;
     private final FleetDirectory directory = new FleetDirectory();
     private final PromptTables prompts;
+    private final StoreContact contact;
     private final Map<String, Long> known = new HashMap<>();
     private long appliedRevision;
     private long loadedRevision;
-    private long lastHeardMillis;
-    private long returnedMillis = Long.MIN_VALUE;
-    private long retryMillis = FIRST_RETRY_MS;
     private long nextConfirmMillis = Long.MIN_VALUE;
-    private volatile boolean away;
     private Store.Watch watch = () -> {};
     private int fleetSize = 1;
     private boolean watching;
     private boolean loading;
     private boolean confirming;
-    private boolean retryPlanned;
 
     /**
      * Makes a feed.
@@ -83,7 +71,7 @@
         this.context = context;
         this.publish = publish;
         this.prompts = new PromptTables(store, self, context);
-        this.lastHeardMillis = context.clock().millis();
+        this.contact = new StoreContact(context, this::returned);
     }
 
     /** Starts to read. */
@@ -96,7 +84,7 @@
     /** Asks for a confirmation at once, unless one has just been tried; may be called on any thread. */
     public void confirmSoon() {
         context.timer().after(0, () -> {
-            if (!away && context.clock().millis() >= nextConfirmMillis) {
+            if (!contact.away() && context.clock().millis() >= nextConfirmMillis) {
                 confirm();
             }
         });
@@ -104,7 +92,7 @@
 
     /** Returns whether the store has not answered for a while; may be called on any thread. */
     public boolean storeAway() {
-        return away;
+        return contact.away();
     }
 
     private void confirmRegularly() {
@@ -126,10 +114,10 @@
     private void confirmed(Freshness.Moment began, Either<StoreFault, StoreView> reply) {
         confirming = false;
         if (reply.isLeft()) {
-            failed(this::confirm);
+            contact.failed(this::confirm);
             return;
         }
-        heard();
+        contact.heard();
         long revision = reply.get().revision();
         if (!watching) {
             load();
@@ -162,10 +150,10 @@
     private void loaded(Freshness.Moment began, Either<StoreFault, StoreView> reply) {
         loading = false;
         if (reply.isLeft()) {
-            failed(this::load);
+            contact.failed(this::load);
             return;
         }
-        heard();
+        contact.heard();
         StoreView view = reply.get();
         if (view.revision() >= loadedRevision) {
             replace(view);
@@ -208,6 +196,7 @@
     }
 
     private void changed(StoreView view) {
+        contact.heard();
         List<StoreEntry> newer = view.entries().stream()
                 .filter(entry -> entry.modRevision() > loadedRevision)
                 .toList();
@@ -255,52 +244,16 @@
             return prompts.take(kept.service(), kept.table(), entry.modRevision());
         }
         long now = context.clock().millis();
-        boolean changed = directory.take(fact, now, keepLapsedUntil(now));
+        boolean changed = directory.take(fact, now, contact.keepLapsedUntil(now));
         if (changed && (loadedRevision > 0 || fact instanceof FleetFact.Published)) {
             BeliefEvents.emit(context.events(), fact, entry.modRevision());
         }
         return changed;
     }
 
-    private long keepLapsedUntil(long now) {
-        if (away || now - lastHeardMillis > AWAY_AFTER_MS) {
-            return Long.MAX_VALUE;
-        }
-        long until = returnedMillis == Long.MIN_VALUE
-                ? now
-                : returnedMillis + context.bounds().lapseReturnMillis();
-        return Math.max(now, until);
-    }
-
-    private void heard() {
-        long now = context.clock().millis();
-        retryMillis = FIRST_RETRY_MS;
-        if (away || now - lastHeardMillis > AWAY_AFTER_MS) {
-            returnedMillis = now;
-            long until = now + context.bounds().lapseReturnMillis();
-            directory.endLapse(until);
-            context.timer().after(until - now, this::expire);
-            context.events().emit("dependency-regained", "dependency", "store", "silentMillis", now - lastHeardMillis);
-        }
-        away = false;
-        lastHeardMillis = now;
-    }
-
-    private void failed(Runnable again) {
-        long now = context.clock().millis();
-        if (!away && now - lastHeardMillis > AWAY_AFTER_MS) {
-            away = true;
-            context.events().emit("dependency-lost", "dependency", "store", "silentMillis", now - lastHeardMillis);
-        }
-        if (retryPlanned) {
-            return;
-        }
-        retryPlanned = true;
-        context.timer().after(retryMillis, () -> {
-            retryPlanned = false;
-            again.run();
-        });
-        retryMillis = Math.min(LONGEST_RETRY_MS, retryMillis * 2);
+    private void returned(long lapsedGoAtMillis) {
+        directory.endLapse(lapsedGoAtMillis);
+        context.timer().after(lapsedGoAtMillis - context.clock().millis(), this::expire);
     }
 
     private void expire() {
@@ -313,6 +266,7 @@
             if (view.instances().size() != fleetSize) {
                 fleetSize = view.instances().size();
                 watch.gather(StorePace.gatherMillis(fleetSize));
+                contact.expectEvery(StorePace.confirmMillis(fleetSize));
             }
             publish.accept(view.with(prompts.heal(view)));
         }
