--- a/org.cuminspur.router/src/org/cuminspur/router/JsonEventLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/JsonEventLog.java
@@ -51,11 +51,6 @@
         return new JsonEventLog(java.time.Clock.systemUTC()::millis, (LoggerContext) LoggerFactory.getILoggerFactory());
     }
 
-    /** Returns how many lines were dropped so far. */
-    public long dropped() {
-        return dropped.get();
-    }
-
     @Override
     public void emit(String event, Object... fields) {
         if (queue.getRemainingCapacity() == 0) {
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -19,9 +19,9 @@
 /**
  * Keeps a view of the fleet current from the platform's store.
  *
- * <p>Used on the timer's thread only, but for {@link #confirmSoon} and {@link #storeAway}. One watch brings changes; since a watch that is
- * quiet proves nothing, a small read at intervals tells the store's revision, and all is read again if the watch is
- * behind it. Changes older than what was read before are ignored, so nothing goes back.
+ * <p>Used on the timer's thread only, but for {@link #confirmSoon} and {@link #storeAway}. One watch brings changes;
+ * since a watch that is quiet proves nothing, a small read at intervals tells the store's revision, and all is read
+ * again if the watch is behind it. Changes older than what was read before are ignored, so nothing goes back.
  */
 public final class FleetFeed {
     /** Time that the watch is given to bring what a confirmation has seen, besides that in which changes gather. */
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -16,8 +16,8 @@
  *
  * <p>Not thread-safe; used on the traffic thread. Requests with the same shared prompt go to the same upstream on every
  * instance, the one that owns it, until that holds more than its part of the load; then to the next one in the
- * rendezvous order of the prompt, which is again the same everywhere. Other requests go to the least loaded, the own failure domain
- * first. A cold upstream never gets more than its rate, whatever else is left.
+ * rendezvous order of the prompt, which is again the same everywhere. Other requests go to the least loaded, the own
+ * failure domain first. A cold upstream never gets more than its rate, whatever else is left.
  */
 public final class PromptPlacement {
     /** Part of the bound on load that placement uses; reports are a second old. */
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamBoard.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamBoard.java
@@ -21,6 +21,7 @@
      */
     private static final double WARM_UNEVENNESS = 3;
 
+    /** A bunch of requests with one prompt, which an instance may always send to a warm upstream. */
     private static final int LEAST_WARM_SHARE = 3;
 
     private final InstanceId self;
@@ -51,11 +52,6 @@
         return byService.getOrDefault(service, List.of());
     }
 
-    /** Returns the state of an upstream, or null if it is unknown. */
-    public UpstreamState state(UpstreamId id) {
-        return states.get(id);
-    }
-
     /** Returns how long upstreams of a service are cold after a start, 0 if they never are. */
     public long warmupMillis(ServiceId service) {
         ServiceTerms terms = terms(service);
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamHealth.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamHealth.java
@@ -9,7 +9,9 @@
     /** Failures in a row that leave an upstream out; two are common by chance where one answer in seven fails. */
     private static final int FAILURES_IN_ROW = 4;
 
+    /** First time left out, as long as a connection is waited for; doubled at each failure up to the longest. */
     private static final long FIRST_PAUSE_MS = 400;
+
     private static final long LONGEST_PAUSE_MS = 4_000;
 
     /** Weight of one request in the failure rate, so that the last dozen requests decide. */
@@ -60,11 +62,6 @@
         return failureRate;
     }
 
-    /** Returns whether it is left out or on probation. */
-    public boolean suspected() {
-        return probation;
-    }
-
     private boolean leaveOut(long nowMillis) {
         if (nowMillis < outUntil) {
             return false;
