--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
@@ -31,23 +31,17 @@
     private final FleetFeed feed;
     private final TrafficServer server;
 
-    private TrafficRouter(TrafficSettings settings, Platform platform, EventSink events) {
+    private TrafficRouter(TrafficSettings settings, Platform platform, EventSink log) {
         this.settings = settings;
-        this.events = events;
+        MetricRegistry metrics = new MetricRegistry();
+        events = counted(log, metrics);
         control = Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control"));
         Clock clock = Clock.system();
         Clock wall = java.time.Clock.systemUTC()::millis;
         Freshness freshness = new Freshness(clock, wall);
         Timer timer = this::later;
         server = new TrafficServer(
-                settings,
-                platform.dialect(),
-                clock,
-                freshness,
-                this::confirmSoon,
-                this::storeAway,
-                events,
-                new MetricRegistry());
+                settings, platform.dialect(), clock, freshness, this::confirmSoon, this::storeAway, events, metrics);
         FleetFeed.Context context = new FleetFeed.Context(clock, timer, freshness, settings.bounds(), events);
         feed = new FleetFeed(
                 platform.store(),
@@ -95,6 +89,14 @@
         control.shutdownNow();
     }
 
+    /** Counts all events by name, those that the log drops too. */
+    private static EventSink counted(EventSink log, MetricRegistry metrics) {
+        return (event, fields) -> {
+            metrics.counter("events." + event).inc();
+            log.emit(event, fields);
+        };
+    }
+
     private void confirmSoon() {
         feed.confirmSoon();
     }
