End a planned stop only after a quiet while

Cause: the process ended as soon as no request was in progress, which a request on its way did not prevent, and an answer that was just written could still lie in the process. Ruled out: the upstream (answered in 1 ms), closing of idle connections (it was not idle). Now 400 ms must pass without a request.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
@@ -6,7 +6,10 @@
  * <p>While it stops, the instance is not ready, serves on, and closes each connection after its answer.
  */
 final class StopState {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private int inProgress;
+    private long lastLeftNanos = System.nanoTime();
     private volatile boolean stopping;
     private volatile long unnoticedUntil = Long.MAX_VALUE;
     private volatile long endMillis = Long.MAX_VALUE;
@@ -17,6 +20,7 @@
 
     synchronized void left() {
         inProgress--;
+        lastLeftNanos = System.nanoTime();
         notifyAll();
     }
 
@@ -45,12 +49,20 @@
         return arrivedMillis < unnoticedUntil || lastMillis <= endMillis;
     }
 
-    /** Waits until no request is in progress; returns how many still are. */
-    synchronized int awaitEmpty(long untilNanos) throws InterruptedException {
-        long leftMillis = (untilNanos - System.nanoTime()) / 1_000_000;
-        while (inProgress > 0 && leftMillis > 0) {
-            wait(leftMillis);
-            leftMillis = (untilNanos - System.nanoTime()) / 1_000_000;
+    /**
+     * Waits until no request has been in progress for a while; returns how many still are.
+     *
+     * @param quietMillis covers requests on their way here and answers on their way to their callers
+     */
+    synchronized int awaitQuiet(long untilNanos, long quietMillis) throws InterruptedException {
+        long quietSince = System.nanoTime();
+        long now = quietSince;
+        while (now < untilNanos && (inProgress > 0 || now - quietSince < quietMillis * NANOS_PER_MILLI)) {
+            wait(Math.max(1, Math.min(quietMillis, (untilNanos - now) / NANOS_PER_MILLI)));
+            now = System.nanoTime();
+            if (inProgress > 0 || lastLeftNanos > quietSince) {
+                quietSince = inProgress > 0 ? now : lastLeftNanos;
+            }
         }
         return inProgress;
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -53,6 +53,9 @@
     /** Time that the balancer needs to notice an instance that is not ready: two questions, one a second. */
     private static final long UNREADY_MS = 2_600;
 
+    /** Time without a request before the end; a request crosses the closing of its connection within some round trips. */
+    private static final long QUIET_MS = 400;
+
     /** Part of the grace time that is left for the process to end. */
     private static final long LEAVE_MS = 500;
 
@@ -137,7 +140,7 @@
         try {
             TimeUnit.MILLISECONDS.sleep(UNREADY_MS);
             thread.execute(this::closeIdle);
-            return traffic.stop().awaitEmpty(began + TimeUnit.MILLISECONDS.toNanos(grace));
+            return traffic.stop().awaitQuiet(began + TimeUnit.MILLISECONDS.toNanos(grace), QUIET_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return 0;
