--- a/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
@@ -4,8 +4,10 @@
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
 
 /** What all users of Undertow's client connections need; stateless and thread-safe. */
 public final class ClientConnections {
@@ -21,6 +23,27 @@
         }
     }
 
+    /**
+     * Writes as much of a request's body as its channel takes, and ends the body once it is whole.
+     *
+     * @return whether the whole request is sent; if not, the channel's write listener is to call this again
+     */
+    public static boolean writeBody(StreamSinkChannel channel, ByteBuffer body) throws IOException {
+        while (body.hasRemaining()) {
+            if (channel.write(body) == 0) {
+                channel.resumeWrites();
+                return false;
+            }
+        }
+        channel.shutdownWrites();
+        if (!channel.flush()) {
+            channel.resumeWrites();
+            return false;
+        }
+        channel.suspendWrites();
+        return true;
+    }
+
     /** Returns a callback made of two functions. */
     public static ClientCallback<ClientExchange> callback(
             Consumer<ClientExchange> completed, Consumer<IOException> failed) {
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -163,19 +163,7 @@
 
     private void write(StreamSinkChannel channel, ByteBuffer buffer) {
         try {
-            while (buffer.hasRemaining()) {
-                if (channel.write(buffer) == 0) {
-                    channel.resumeWrites();
-                    return;
-                }
-            }
-            channel.shutdownWrites();
-            if (!channel.flush()) {
-                channel.resumeWrites();
-                return;
-            }
-            channel.suspendWrites();
-            requestWritten = true;
+            requestWritten |= ClientConnections.writeBody(channel, buffer);
         } catch (IOException e) {
             fail(e);
         }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerReply.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerReply.java
@@ -43,11 +43,6 @@
         this.listener = listener;
     }
 
-    /** Returns whether the answer's head was fixed. */
-    boolean begun() {
-        return channel != null;
-    }
-
     /** Fixes status and headers. */
     void begin(int status, HeaderMap headers) {
         exchange.setStatusCode(status);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamSend.java
@@ -188,19 +188,7 @@
     }
 
     private void writeSome(StreamSinkChannel channel, ByteBuffer bytes) throws IOException {
-        while (bytes.hasRemaining()) {
-            if (channel.write(bytes) == 0) {
-                channel.resumeWrites();
-                return;
-            }
-        }
-        channel.shutdownWrites();
-        if (!channel.flush()) {
-            channel.resumeWrites();
-            return;
-        }
-        channel.suspendWrites();
-        requestWritten = true;
+        requestWritten |= ClientConnections.writeBody(channel, bytes);
     }
 
     private void answered(ClientExchange exchange) {
