Copy a prompt's cache from its owner when the prompt is placed elsewhere

The placements in the log show why: a prompt spilled from a loaded or unsound owner (73 + 32 of 1,703), or its owner had changed in a release while the old one still ran.

Ruled out: copying each run's memory as it grows (Kv-Backup) would cost more than the few runs that break; moving prompts less often was tried before.

Change: a placement names the upstream that most likely keeps the prompt, the owner or the one before it, if that answers; the request carries its address. Tables of prompts remember the owner before, in this instance only.

What is left are owners that crashed, and owners that come back while another upstream holds the newer copy.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptPlanner.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptPlanner.java
@@ -10,8 +10,10 @@
 import org.cuminspur.traffic.CallHead;
 import org.cuminspur.traffic.Choice;
 import org.cuminspur.traffic.PromptPlacement;
+import org.cuminspur.traffic.PromptTable;
 import org.cuminspur.traffic.SendHead;
 import org.cuminspur.traffic.TrafficAccount;
+import org.cuminspur.traffic.UpstreamState;
 
 /** Says where the next attempt of one request goes, and what is sent there; used on the traffic thread. */
 final class AttemptPlanner {
@@ -26,11 +28,14 @@
     /** Returns the upstream for the next attempt, empty if none may take it now. */
     Optional<Choice> choose(RoutedCall routed, Set<UpstreamId> tried, long now) {
         OptionalLong key = routed.route().promptAffinity() ? call.prompt().sharedKey() : OptionalLong.empty();
-        Optional<UpstreamId> owner = Optional.ofNullable(
+        Optional<PromptTable> table = Optional.ofNullable(
                         traffic.board().view().prompts().get(routed.service()))
-                .filter(table -> key.isPresent())
-                .map(table -> table.owner(key.getAsLong()));
-        PromptPlacement.Demand demand = new PromptPlacement.Demand(key, owner, tried);
+                .filter(known -> key.isPresent());
+        PromptPlacement.Demand demand = new PromptPlacement.Demand(
+                key,
+                table.map(known -> known.owner(key.getAsLong())),
+                table.map(known -> known.previousOwner(key.getAsLong())),
+                tried);
         return traffic.placement().choose(traffic.board().of(routed.service()), demand, now);
     }
 
@@ -43,14 +48,20 @@
             HttpServerExchange exchange,
             int bodyBytes,
             RoutedCall routed,
-            UpstreamId upstream,
+            Choice choice,
             OptionalLong passedOn,
             long now) {
         Optional<String> after =
                 passedOn.isPresent() ? Optional.of(Long.toString(passedOn.getAsLong())) : call.lastEventId();
         Optional<AccountId> account = routed.account().map(TrafficAccount::id);
         long left = Math.max(1, routed.deadlineMillis() - now);
-        SendHead head = new SendHead(left, upstream, account, routed.urgency(), after);
+        SendHead head = new SendHead(
+                left,
+                choice.upstream().id(),
+                account,
+                routed.urgency(),
+                after,
+                choice.cacheSource().map(UpstreamState::entry));
         return UpstreamRequests.of(exchange, bodyBytes, traffic.dialect(), call, head);
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/FlowLog.java
@@ -30,6 +30,8 @@
                         upstream.id().value(),
                         "reason",
                         choice.reason().name(),
+                        "cacheSource",
+                        choice.cacheSource().map(source -> source.id().value()).orElse(""),
                         "prompt",
                         Long.toHexString(call.prompt().sharedKey().orElse(0)),
                         "sharedTokens",
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -156,7 +156,7 @@
         send = new UpstreamSend(upstream, traffic.connections(), traffic.buffer(), this);
         upstream.started(send, now);
         upstream.health().tried(now);
-        send.start(planner.request(exchange, body.length, routed, upstream.id(), relay.resumePoint(), now), body);
+        send.start(planner.request(exchange, body.length, routed, chosen.get(), relay.resumePoint(), now), body);
     }
 
     @Override
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.UpstreamId;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -163,9 +164,49 @@
                         assertEquals(state.cold(now + 1), state.entry().domain().equals(TrafficFixtures.MILANO)));
     }
 
+    @Test
+    public void aPromptThatLeavesItsLoadedOwnerIsCopiedFromThere() {
+        UpstreamState owner = chosen(board, KEY);
+        load(owner, 6);
+        Choice choice = placement
+                .choose(board.of(TrafficFixtures.MODEL), owned(owner, Optional.empty()), now)
+                .orElseThrow();
+        assertEquals(choice.reason(), Choice.Reason.SPILL_LOAD);
+        assertEquals(choice.cacheSource().map(UpstreamState::id), Optional.of(owner.id()));
+    }
+
+    @Test
+    public void aPromptIsCopiedFromItsPreviousOwnerWhileThatLeaves() {
+        UpstreamEntry[] entries = TrafficFixtures.upstreams(8);
+        entries[1] = TrafficFixtures.leaving(entries[1]);
+        board.apply(TrafficFixtures.view(6, entries), now);
+        UpstreamState owner = chosen(board, KEY);
+        Choice choice = placement
+                .choose(board.of(TrafficFixtures.MODEL), owned(owner, Optional.of(entries[1].id())), now)
+                .orElseThrow();
+        assertEquals(choice.upstream().id(), owner.id());
+        assertEquals(choice.cacheSource().map(UpstreamState::id), Optional.of(entries[1].id()));
+    }
+
+    @Test
+    public void nothingIsCopiedFromAnUpstreamThatDoesNotAnswer() {
+        UpstreamState owner = chosen(board, KEY);
+        owner.started("waits", now - 2_000);
+        Choice choice = placement
+                .choose(board.of(TrafficFixtures.MODEL), owned(owner, Optional.empty()), now)
+                .orElseThrow();
+        assertEquals(choice.reason(), Choice.Reason.SPILL_UNSOUND);
+        assertEquals(choice.cacheSource(), Optional.empty());
+    }
+
+    private static PromptPlacement.Demand owned(UpstreamState owner, Optional<UpstreamId> previousOwner) {
+        return new PromptPlacement.Demand(OptionalLong.of(KEY), Optional.of(owner.id()), previousOwner, Set.of());
+    }
+
     @Test
     public void requestsWithoutAPromptStayInTheirOwnDomainWhileItIsNotLoaded() {
-        PromptPlacement.Demand plain = new PromptPlacement.Demand(OptionalLong.empty(), Optional.empty(), Set.of());
+        PromptPlacement.Demand plain =
+                new PromptPlacement.Demand(OptionalLong.empty(), Optional.empty(), Optional.empty(), Set.of());
         UpstreamState near = placement
                 .choose(board.of(TrafficFixtures.MODEL), plain, now)
                 .orElseThrow()
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptTableTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptTableTest.java
@@ -70,6 +70,20 @@
                 .allMatch(id -> Collections.frequency(even.owners(), id) >= PromptTable.BUCKETS / 10));
     }
 
+    @Test
+    public void theOwnerBeforeIsRememberedButNotStored() {
+        PromptTable table = PromptTable.EMPTY.healed(upstreams(0, 8));
+        PromptTable next = table.healed(upstreams(1, 8));
+        PromptTable stored = PromptTable.decoded(next.encoded());
+        for (long key = 0; key < 100; key++) {
+            UpstreamId moved = table.owner(key).equals(next.owner(key)) ? null : table.owner(key);
+            assertEquals(next.previousOwner(key), moved);
+            assertEquals(stored.previousOwner(key), null);
+            assertEquals(stored.following(next).previousOwner(key), moved);
+        }
+        assertEquals(stored, next);
+    }
+
     @Test(dataProvider = "sizes")
     public void textHoldsTheWholeTable(int size) {
         PromptTable table = PromptTable.EMPTY.healed(upstreams(0, size));
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
@@ -96,7 +96,7 @@
     }
 
     static PromptPlacement.Demand demand(long key, UpstreamId... tried) {
-        return new PromptPlacement.Demand(OptionalLong.of(key), Optional.empty(), Set.of(tried));
+        return new PromptPlacement.Demand(OptionalLong.of(key), Optional.empty(), Optional.empty(), Set.of(tried));
     }
 
     /** Reads {@code config/N}, {@code upstream/ID=ready|leaving}, {@code empty/DOMAIN} and {@code instance/ID}. */
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -40,9 +40,14 @@
      *
      * @param sharedKey key of the prompt's shared parts, if it has any
      * @param owner the upstream that keeps the prompt, if one does
+     * @param previousOwner the upstream that kept it before, if it is known
      * @param tried upstreams that it was sent to already
      */
-    public record Demand(OptionalLong sharedKey, Optional<UpstreamId> owner, Set<UpstreamId> tried) {}
+    public record Demand(
+            OptionalLong sharedKey,
+            Optional<UpstreamId> owner,
+            Optional<UpstreamId> previousOwner,
+            Set<UpstreamId> tried) {}
 
     private final FailureDomainId domain;
     private final double loadFactor;
@@ -83,11 +88,12 @@
         if (demand.sharedKey().isEmpty()) {
             return candidates.stream()
                     .min(Comparator.comparingDouble(state -> cost(state, loads)))
-                    .map(state -> new Choice(state, Choice.Reason.LEAST_LOADED));
+                    .map(state -> new Choice(state, Choice.Reason.LEAST_LOADED, Optional.empty()));
         }
         UpstreamState chosen = byPrompt(candidates, demand, loads);
         UpstreamState first = first(service.stream().filter(UpstreamState::open), demand);
-        return Optional.of(new Choice(chosen, reason(first, chosen, meanFailures, nowMillis)));
+        Optional<UpstreamState> source = source(service, chosen, demand, nowMillis);
+        return Optional.of(new Choice(chosen, reason(first, chosen, meanFailures, nowMillis), source));
     }
 
     @SafeVarargs
@@ -101,6 +107,21 @@
                 && state.health().failureRate() < meanFailures + FAILURE_EXCESS;
     }
 
+    /**
+     * Returns the upstream that most likely keeps the prompt which the chosen one lacks, to copy it from there.
+     *
+     * <p>One that takes no new work may still hand on its cache, but one that does not answer would hold the request up.
+     */
+    private static Optional<UpstreamState> source(
+            List<UpstreamState> service, UpstreamState chosen, Demand demand, long nowMillis) {
+        return Stream.of(demand.owner(), demand.previousOwner())
+                .flatMap(Optional::stream)
+                .filter(id -> !id.equals(chosen.id()))
+                .flatMap(id -> service.stream().filter(state -> state.id().equals(id)))
+                .filter(state -> state.health().admits(nowMillis) && state.silentMillis(nowMillis) < SILENT_MS)
+                .findFirst();
+    }
+
     private static Choice.Reason reason(
             UpstreamState first, UpstreamState chosen, double meanFailures, long nowMillis) {
         if (first == chosen) {
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptTable.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptTable.java
@@ -19,18 +19,23 @@
  * <p>Prompts fall into buckets by their key, and each bucket has an owner. When an owner leaves, only its buckets move;
  * they go to those that own the fewest, which are the upstreams that came last. So a release moves each prompt once, and
  * upstreams that are added move none. All instances that see the same changes make the same table.
+ *
+ * <p>A table that was made from another one remembers the owner before, from which the new one may copy what it keeps.
+ * That memory is this instance's own: it is neither stored nor part of equality.
  */
 public final class PromptTable {
     /** Enough for the buckets of 100 upstreams to differ by a tenth. */
     public static final int BUCKETS = 1_024;
 
     /** A table without owners. */
-    public static final PromptTable EMPTY = new PromptTable(new UpstreamId[BUCKETS]);
+    public static final PromptTable EMPTY = new PromptTable(new UpstreamId[BUCKETS], new UpstreamId[BUCKETS]);
 
     private final UpstreamId[] owners;
+    private final UpstreamId[] previousOwners;
 
-    private PromptTable(UpstreamId[] owners) {
+    private PromptTable(UpstreamId[] owners, UpstreamId[] previousOwners) {
         this.owners = owners;
+        this.previousOwners = previousOwners;
     }
 
     /** Returns a table with the given owner of each bucket; a bucket may have none. */
@@ -38,12 +43,29 @@
         if (owners.length != BUCKETS) {
             throw new IllegalArgumentException("expected " + BUCKETS + " buckets, found " + owners.length);
         }
-        return new PromptTable(owners.clone());
+        return new PromptTable(owners.clone(), new UpstreamId[BUCKETS]);
     }
 
     /** Returns the owner of a prompt, or null if its bucket has none. */
     public UpstreamId owner(long key) {
-        return owners[(int) Long.remainderUnsigned(Rendezvous.mix(key, 0), BUCKETS)];
+        return owners[bucket(key)];
+    }
+
+    /** Returns the owner of a prompt before the present one, or null if none is remembered. */
+    public UpstreamId previousOwner(long key) {
+        return previousOwners[bucket(key)];
+    }
+
+    /** Returns the same table, with the owners that an earlier one named remembered where they differ. */
+    PromptTable following(PromptTable earlier) {
+        UpstreamId[] previous = earlier.previousOwners.clone();
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            UpstreamId before = earlier.owners[bucket];
+            if (before != null && !before.equals(owners[bucket])) {
+                previous[bucket] = before;
+            }
+        }
+        return new PromptTable(owners, previous);
     }
 
     /** Returns the owner of each bucket. */
@@ -64,7 +86,7 @@
                 held.merge(next[bucket], 1, Integer::sum);
             }
         }
-        return Arrays.equals(next, owners) ? this : new PromptTable(next);
+        return Arrays.equals(next, owners) ? this : of(next).following(this);
     }
 
     /** Returns a table in which up to {@code most} buckets have moved from those that own the most to the others. */
@@ -81,7 +103,7 @@
             held.merge(from, -1, Integer::sum);
             held.merge(to, 1, Integer::sum);
         }
-        return Arrays.equals(next, owners) ? this : new PromptTable(next);
+        return Arrays.equals(next, owners) ? this : of(next).following(this);
     }
 
     @Override
@@ -94,6 +116,10 @@
         return Arrays.hashCode(owners);
     }
 
+    private static int bucket(long key) {
+        return (int) Long.remainderUnsigned(Rendezvous.mix(key, 0), BUCKETS);
+    }
+
     private Map<UpstreamId, Integer> held(Set<UpstreamId> members) {
         Map<UpstreamId, Integer> held = new HashMap<>();
         members.forEach(member -> held.put(member, 0));
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptTables.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptTables.java
@@ -80,7 +80,7 @@
             return false;
         }
         stored.put(service, new Stored(table, revision));
-        tables.put(service, table);
+        tables.put(service, table.following(tables.getOrDefault(service, PromptTable.EMPTY)));
         return true;
     }
 
--- a/org.cuminspur/src/org/cuminspur/traffic/SendHead.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/SendHead.java
@@ -11,6 +11,12 @@
  * @param target the only upstream that may run it, whatever process has its address by now
  * @param urgency rank among the upstream's requests, 0 is the most urgent
  * @param lastEventId the event after which a stream is to go on
+ * @param cacheSource another upstream from which to copy what it keeps of the prompt, before the request is run
  */
 public record SendHead(
-        long leftMillis, UpstreamId target, Optional<AccountId> account, int urgency, Optional<String> lastEventId) {}
+        long leftMillis,
+        UpstreamId target,
+        Optional<AccountId> account,
+        int urgency,
+        Optional<String> lastEventId,
+        Optional<UpstreamEntry> cacheSource) {}
--- /dev/null
+++ b/platform.test/tst/org/cuminspur/platform/PlatformHeadersTest.java
@@ -0,0 +1,45 @@
+package org.cuminspur.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import io.undertow.util.HeaderMap;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.cuminspur.id.FailureDomainId;
+import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.UpstreamId;
+import org.cuminspur.traffic.CallHead;
+import org.cuminspur.traffic.PromptShape;
+import org.cuminspur.traffic.SendHead;
+import org.cuminspur.traffic.UpstreamEntry;
+import org.testng.annotations.Test;
+
+/** Checks what servers are told beside the caller's own headers. */
+public class PlatformHeadersTest {
+    private static final CallHead CALL =
+            new CallHead("id", Optional.empty(), OptionalLong.empty(), PromptShape.NONE, Optional.empty());
+
+    @Test
+    public void aCacheIsCopiedFromTheAddressOfItsSource() {
+        UpstreamEntry source = new UpstreamEntry(
+                new UpstreamId("old"),
+                1,
+                new ServiceId("model"),
+                "127.0.0.1",
+                8_080,
+                new FailureDomainId("zone"),
+                64,
+                true,
+                0);
+        assertEquals(told(Optional.of(source)).getFirst("Kv-Fetch"), "127.0.0.1:8080");
+        assertFalse(told(Optional.empty()).contains("Kv-Fetch"));
+    }
+
+    private static HeaderMap told(Optional<UpstreamEntry> cacheSource) {
+        HeaderMap headers = new HeaderMap();
+        SendHead head = new SendHead(1_000, new UpstreamId("new"), Optional.empty(), 5, Optional.empty(), cacheSource);
+        new PlatformHeaders().tell(headers, CALL, head);
+        return headers;
+    }
+}
