Call the store less often in large fleets; send callers elsewhere before keys are refused

Instances cut from the store kept their callers' connections, told them to come back in half a second, and were unready only once they refused.

Ruled out: trusting what a watch answers as proof of freshness (it hears nothing for a second before its history is dropped); polling all entries.

An instance whose view is older than 0.6 of the revocation bound is unready and has its callers connect anew; refusals then name a return time for another instance.

Tests came with the change and were not run against the code before it.

--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficSettingsParser.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficSettingsParser.java
@@ -58,6 +58,7 @@
     private static TrafficBounds bounds(SectionParser in) {
         return new TrafficBounds(
                 in.duration("revoke", 5_000, 100, HOUR_MS),
+                Math.min(in.duration("leave", 2_000, 100, HOUR_MS), in.duration("publish", 2_000, 100, HOUR_MS)),
                 in.duration("lapse-return", 2_600, 0, HOUR_MS),
                 in.decimal("retry-ratio", 0.2, 0, 100),
                 in.decimal("retry-slack", 50, 0, 1_000_000),
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ConfirmationQueue.java
@@ -23,11 +23,17 @@
     /** Part of the bound within which a view counts as current; the rest covers the way to the upstream. */
     private static final double USED = 0.85;
 
+    /**
+     * Part of the bound after which callers are sent to other instances. The balancer notices within two seconds, so
+     * that few callers are left here soon after requests are refused; regular confirmations come before it.
+     */
+    private static final double DOUBTFUL = 0.6;
+
     private record Waiting(long untilMillis, Consumer<Boolean> then) {}
 
     private final Freshness freshness;
     private final Clock clock;
-    private final long limitMillis;
+    private final long revokeMillis;
     private final Runnable confirmSoon;
     private final BooleanSupplier storeAway;
     private List<Waiting> queue = new ArrayList<>();
@@ -42,14 +48,19 @@
             Freshness freshness, Clock clock, long revokeMillis, Runnable confirmSoon, BooleanSupplier storeAway) {
         this.freshness = freshness;
         this.clock = clock;
-        this.limitMillis = (long) (USED * revokeMillis);
+        this.revokeMillis = revokeMillis;
         this.confirmSoon = confirmSoon;
         this.storeAway = storeAway;
     }
 
     /** Returns whether keys can be trusted now. */
     boolean current() {
-        return freshness.ageMillis() < limitMillis;
+        return freshness.ageMillis() < USED * revokeMillis;
+    }
+
+    /** Returns whether keys may soon not be trusted any more, so that callers are better off elsewhere. */
+    boolean doubtful() {
+        return freshness.ageMillis() >= DOUBTFUL * revokeMillis;
     }
 
     /** Calls back once keys can be trusted, or in vain after a time; at once if the store is away. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestFlow.java
@@ -95,7 +95,8 @@
             if (mayWait) {
                 traffic.confirmations().whenCurrent(longestWait(), confirmed -> route(false));
             } else {
-                refuse(Refusal.of(ErrorKind.NOT_READY));
+                boolean started = traffic.board().view().routes().isPresent();
+                refuse(Refusal.of(started ? ErrorKind.VIEW_STALE : ErrorKind.NOT_READY));
             }
         } else if (found.isLeft()) {
             refuse(found.getLeft());
@@ -226,7 +227,7 @@
         boolean resumable = routed.route().resumable() && answerStatus < REDIRECTION;
         relay.begin(resumable);
         HeaderMap passed = UpstreamRequests.answer(headers, traffic.dialect());
-        closeIfStopping(passed);
+        sendElsewhere(passed);
         reply.begin(answerStatus, passed);
     }
 
@@ -293,7 +294,7 @@
         HeaderMap headers = new HeaderMap();
         headers.put(Headers.CONTENT_TYPE, "text/plain");
         traffic.dialect().refuse(headers, call, refusal);
-        closeIfStopping(headers);
+        sendElsewhere(headers);
         status = traffic.dialect().status(refusal.kind());
         finish(refusal.kind().label());
         reply.answer(status, headers, refusal.kind().message().getBytes(StandardCharsets.US_ASCII));
@@ -304,8 +305,9 @@
         reply.cut();
     }
 
-    private void closeIfStopping(HeaderMap headers) {
-        if (traffic.stop().stopping()) {
+    /** Has the caller open its next connection, which the balancer leads to an instance that is ready. */
+    private void sendElsewhere(HeaderMap headers) {
+        if (traffic.stop().stopping() || traffic.confirmations().doubtful()) {
             exchange.setPersistent(false);
             headers.put(Headers.CONNECTION, "close");
         }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -168,7 +168,7 @@
     private void readiness(HttpServerExchange exchange) {
         boolean ready = !traffic.stop().stopping()
                 && traffic.board().view().routes().isPresent()
-                && traffic.confirmations().current();
+                && !traffic.confirmations().doubtful();
         exchange.setStatusCode(ready ? OK : UNAVAILABLE);
     }
 
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetFeedTest.java
@@ -119,10 +119,28 @@
             write("upstream/u" + i, "ready");
         }
         time.run(1_000);
-        long confirmations = 9_000 / StorePace.confirmMillis(83) + 1;
+        long confirmations = 9_000 / new StorePace(TrafficFixtures.BOUNDS).confirmMillis(83) + 1;
         assertTrue(store.reads() - before <= confirmations, "reads " + (store.reads() - before));
     }
 
+    @Test
+    public void aConfirmationBringsWhatTheWatchIsStillGathering() {
+        for (int i = 0; i < 83; i++) {
+            write("instance/i" + i, "a");
+        }
+        time.run(5_000);
+        long before = store.reads();
+        long oldest = 0;
+        for (int i = 0; i < 200; i++) {
+            write("upstream/u" + i, "ready");
+            time.run(50);
+            oldest = Math.max(oldest, freshness.ageMillis());
+        }
+        StorePace pace = new StorePace(TrafficFixtures.BOUNDS);
+        assertTrue(oldest <= pace.confirmMillis(83) + 500, "age " + oldest);
+        assertTrue(store.reads() - before <= 10_000 / pace.confirmMillis(83) + 1, "reads " + store.reads());
+    }
+
     @Test
     public void whatLapsedInAnOutageIsKeptUntilItHadTimeToComeBack() {
         store.faults().outage(true);
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/ReturnTimeTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/ReturnTimeTest.java
@@ -29,5 +29,7 @@
         ReturnTime times = new ReturnTime(() -> 1);
         assertTrue(times.refusal(ErrorKind.STOPPING, "").retryAfterMillis()
                 < times.refusal(ErrorKind.UPSTREAM_REFUSED, "").retryAfterMillis());
+        assertTrue(times.refusal(ErrorKind.VIEW_STALE, "").retryAfterMillis()
+                < times.refusal(ErrorKind.NOT_READY, "").retryAfterMillis());
     }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/StorePaceTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/StorePaceTest.java
@@ -7,7 +7,7 @@
 
 /** Checks that a fleet's calls grow more slowly than the fleet and no bound on changes is missed for it. */
 public class StorePaceTest {
-    /** Calls a second that the store takes at the sizes that the users name, waiting watches included. */
+    /** Calls a second that the store takes at the sizes that the users name, waiting watches included, and bounds. */
     @DataProvider
     public Object[][] sizes() {
         return new Object[][] {{6, 2_000, 2_000}, {83, 6_000, 3_000}, {360, 6_000, 3_000}};
@@ -15,9 +15,30 @@
 
     @Test(dataProvider = "sizes")
     public void constantChangeStaysWithinTheStoresRateAndTheBound(int instances, int callsPerSecond, int boundMillis) {
-        double perInstance = 1_000.0 / StorePace.gatherMillis(instances) + 1_000.0 / StorePace.confirmMillis(instances);
+        StorePace pace = pace(boundMillis);
+        double perInstance = 1_000.0 / pace.gatherMillis(instances) + 1_000.0 / pace.confirmMillis(instances);
         assertTrue(instances * perInstance <= callsPerSecond / 2.0, "calls " + instances * perInstance);
-        assertTrue(StorePace.gatherMillis(instances) <= boundMillis / 2);
-        assertTrue(StorePace.confirmMillis(instances) <= boundMillis * 2 / 3);
+        assertTrue(pace.gatherMillis(instances) <= boundMillis / 2);
+        assertTrue(pace.confirmMillis(instances) <= boundMillis * 2 / 3);
+    }
+
+    @Test
+    public void aFailedConfirmationLeavesTimeForAnotherBeforeKeysAreRefused() {
+        assertTrue(pace(60_000).confirmMillis(360) <= TrafficFixtures.BOUNDS.revokeMillis() / 2);
+    }
+
+    private static StorePace pace(long changeMillis) {
+        TrafficBounds usual = TrafficFixtures.BOUNDS;
+        return new StorePace(new TrafficBounds(
+                usual.revokeMillis(),
+                changeMillis,
+                usual.lapseReturnMillis(),
+                usual.retryRatio(),
+                usual.retrySlack(),
+                usual.retryWindowMillis(),
+                usual.coldOverage(),
+                usual.coldSlack(),
+                usual.loadFactor(),
+                usual.graceMillis()));
     }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
@@ -23,7 +23,7 @@
     static final ServiceId MODEL = new ServiceId("model");
     static final FailureDomainId MILANO = new FailureDomainId("milano");
     static final FailureDomainId TORINO = new FailureDomainId("torino");
-    static final TrafficBounds BOUNDS = new TrafficBounds(5_000, 2_000, 0.2, 52, 10_000, 1.5, 5, 2, 8_000);
+    static final TrafficBounds BOUNDS = new TrafficBounds(5_000, 2_000, 2_000, 0.2, 52, 10_000, 1.5, 5, 2, 8_000);
     static final ServiceTerms TERMS = new ServiceTerms(MODEL, 360, 3_000, 14);
 
     private TrafficFixtures() {}
--- a/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
+++ b/org.cuminspur.testing/src/org/cuminspur/testing/MemoryStore.java
@@ -1,6 +1,7 @@
 package org.cuminspur.testing;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -139,6 +140,7 @@
         private final Runnable ended;
         private final BiConsumer<Long, List<StoreEntry>> listener = this::changed;
         private boolean done;
+        private final List<StoreEntry> gathered = new ArrayList<>();
         private long gatherMillis;
 
         RunningWatch(String prefix, Consumer<StoreView> changes, Runnable ended) {
@@ -168,6 +170,11 @@
             gatherMillis = millis;
         }
 
+        @Override
+        public void hurry() {
+            time.after(delay(), this::tell);
+        }
+
         void end() {
             if (!done) {
                 done = true;
@@ -183,7 +190,16 @@
             if (faults.outage()) {
                 time.after(0, this::end);
             } else if (!seen.isEmpty() && !done && !faults.silentWatches()) {
-                time.after(gatherMillis + delay(), () -> changes.accept(new StoreView(revision, seen)));
+                gathered.addAll(seen);
+                time.after(gatherMillis + delay(), this::tell);
+            }
+        }
+
+        private void tell() {
+            if (!gathered.isEmpty()) {
+                List<StoreEntry> told = List.copyOf(gathered);
+                gathered.clear();
+                changes.accept(new StoreView(told.get(told.size() - 1).modRevision(), told));
             }
         }
     }
--- a/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
+++ b/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
@@ -29,6 +29,7 @@
     ACCOUNT_LIMIT(429, NOT_RUN, true, "the account is over its limit"),
     OVERLOADED(503, NOT_RUN, true, "no capacity is free"),
     NOT_READY(503, NOT_RUN, true, "this instance has no configuration yet"),
+    VIEW_STALE(503, NOT_RUN, true, "this instance cannot confirm its configuration"),
     STOPPING(503, NOT_RUN, true, "this instance is stopping"),
     NO_UPSTREAM(503, NOT_RUN, true, "no upstream can take the request"),
     STORE_UNAVAILABLE(503, NOT_RUN, true, "the request cannot be recorded now"),
--- a/org.cuminspur/src/org/cuminspur/store/Store.java
+++ b/org.cuminspur/src/org/cuminspur/store/Store.java
@@ -38,5 +38,8 @@
 
         /** Sets for how long, after a change, more changes may gather before they are told; a hint. */
         default void gather(long millis) {}
+
+        /** Asks for the changes that there are now, without waiting for more; a hint. */
+        default void hurry() {}
     }
 }
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetFeed.java
@@ -24,8 +24,8 @@
  * again if the watch is behind it. Changes older than what was read before are ignored, so nothing goes back.
  */
 public final class FleetFeed {
-    /** Time that the watch is given to bring what a confirmation has seen, besides that in which changes gather. */
-    private static final long WATCH_BEHIND_MS = 200;
+    /** Time that a hurried watch is given to bring what a confirmation has seen; dozens of round trips. */
+    private static final long WATCH_BEHIND_MS = 250;
 
     /** Least time between two confirmations, however many requests ask for one. */
     private static final long CONFIRM_GAP_MS = 200;
@@ -40,6 +40,7 @@
     private final Consumer<FleetView> publish;
     private final FleetDirectory directory = new FleetDirectory();
     private final PromptTables prompts;
+    private final StorePace pace;
     private final StoreContact contact;
     private final Map<String, Long> known = new HashMap<>();
     private long appliedRevision;
@@ -71,14 +72,15 @@
         this.context = context;
         this.publish = publish;
         this.prompts = new PromptTables(store, self, context);
-        this.contact = new StoreContact(context, this::returned);
+        this.pace = new StorePace(context.bounds());
+        this.contact = new StoreContact(context, pace.confirmMillis(fleetSize), this::returned);
     }
 
     /** Starts to read. */
     public void start() {
         context.timer().after(0, this::load);
         context.timer().after(0, prompts::start);
-        context.timer().after(StorePace.confirmMillis(fleetSize), this::confirmRegularly);
+        context.timer().after(pace.confirmMillis(fleetSize), this::confirmRegularly);
     }
 
     /** Asks for a confirmation at once, unless one has just been tried; may be called on any thread. */
@@ -98,7 +100,7 @@
     private void confirmRegularly() {
         expire();
         confirm();
-        context.timer().after(StorePace.confirmMillis(fleetSize), this::confirmRegularly);
+        context.timer().after(pace.confirmMillis(fleetSize), this::confirmRegularly);
     }
 
     private void confirm() {
@@ -124,8 +126,8 @@
         } else if (revision <= appliedRevision) {
             context.freshness().confirm(began);
         } else {
-            long wait = WATCH_BEHIND_MS + StorePace.gatherMillis(fleetSize);
-            context.timer().after(wait, () -> caughtUp(began, revision));
+            watch.hurry();
+            context.timer().after(WATCH_BEHIND_MS, () -> caughtUp(began, revision));
         }
     }
 
@@ -191,7 +193,7 @@
             watching = true;
             watch = store.watch(
                     "", appliedRevision, view -> onThread(() -> changed(view)), () -> onThread(this::watchEnded));
-            watch.gather(StorePace.gatherMillis(fleetSize));
+            watch.gather(pace.gatherMillis(fleetSize));
         }
     }
 
@@ -265,8 +267,8 @@
             FleetView view = directory.view();
             if (view.instances().size() != fleetSize) {
                 fleetSize = view.instances().size();
-                watch.gather(StorePace.gatherMillis(fleetSize));
-                contact.expectEvery(StorePace.confirmMillis(fleetSize));
+                watch.gather(pace.gatherMillis(fleetSize));
+                contact.expectEvery(pace.confirmMillis(fleetSize));
             }
             publish.accept(view.with(prompts.heal(view)));
         }
--- a/org.cuminspur/src/org/cuminspur/traffic/ReturnTime.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/ReturnTime.java
@@ -8,8 +8,7 @@
  * Tells refused callers when to come back, so that those refused together do not return together.
  *
  * <p>As thread-safe as its random source. The time follows what has to pass before the request can be served: another
- * instance is there at once, a start or a return of the store takes about half a second, an upstream's slot frees within
- * a request's usual time.
+ * instance is there at once, a start takes about half a second, an upstream's slot frees within a request's usual time.
  */
 public final class ReturnTime {
     /** Another instance serves at once; the time only keeps callers from returning in one instant. */
@@ -38,7 +37,7 @@
     /** Returns a refusal of a kind with a time to come back. */
     public Refusal refusal(ErrorKind kind, String detail) {
         long longest = switch (kind) {
-            case STOPPING -> ELSEWHERE_MS;
+            case STOPPING, VIEW_STALE -> ELSEWHERE_MS;
             case NOT_READY -> READY_MS;
             default -> ROOM_MS;
         };
--- a/org.cuminspur/src/org/cuminspur/traffic/StoreContact.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/StoreContact.java
@@ -15,11 +15,11 @@
     private static final long LONGEST_RETRY_MS = 800;
 
     /** Silence beyond the time in which an answer is expected that counts as absence; entries lapse after 3 s or more. */
-    private static final long AWAY_AFTER_MS = 700;
+    private static final long AWAY_AFTER_MS = 500;
 
     private final FleetFeed.Context context;
     private final LongConsumer returned;
-    private long expectedMillis = StorePace.confirmMillis(1);
+    private long expectedMillis;
     private long lastHeardMillis;
     private long returnedMillis = Long.MIN_VALUE;
     private long retryMillis = FIRST_RETRY_MS;
@@ -29,10 +29,12 @@
     /**
      * Makes one that has just heard of the store.
      *
+     * @param expectedMillis time within which an answer is expected as long as the store is there
      * @param returned receives, at each return of the store, the time up to which lapsed entries may come back
      */
-    StoreContact(FleetFeed.Context context, LongConsumer returned) {
+    StoreContact(FleetFeed.Context context, long expectedMillis, LongConsumer returned) {
         this.context = context;
+        this.expectedMillis = expectedMillis;
         this.returned = returned;
         this.lastHeardMillis = context.clock().millis();
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/StorePace.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/StorePace.java
@@ -1,33 +1,45 @@
 package org.cuminspur.traffic;
 
 /**
- * Says how often an instance calls the platform's store, by the size of its fleet; stateless and thread-safe.
+ * Says how often an instance calls the platform's store, by the size of its fleet; immutable and thread-safe.
  *
  * <p>The store's rates grow more slowly than the fleet, and every call costs; so a larger fleet lets more changes gather
- * for one call, and confirms less often. Both stay below half of the shortest bound that rests on them, which is 2 s
- * for small fleets and 3 s for those of dozens.
+ * for one call, and confirms less often. Both stay within parts of the bounds that rest on them, whatever the size.
  */
 final class StorePace {
     /** Pause after a change for each instance of the fleet, in which more changes gather. */
-    private static final long GATHER_PER_INSTANCE_MS = 10;
+    private static final long GATHER_PER_INSTANCE_MS = 20;
 
-    private static final long LONGEST_GATHER_MS = 700;
+    /** Part of the bound on changes that may pass before the next call; the rest covers the call and the way upstream. */
+    private static final double GATHER_SHARE = 0.5;
 
-    /** Time between confirmations of a small fleet; a third of the shortest bound that rests on them, with a retry. */
+    /** Time between confirmations of a single instance. */
     private static final long CONFIRM_MS = 1_000;
 
-    private static final long CONFIRM_PER_INSTANCE_MS = 8;
-    private static final long LONGEST_CONFIRM_MS = 1_600;
+    private static final long CONFIRM_PER_INSTANCE_MS = 15;
 
-    private StorePace() {}
+    /** Part of the bound on changes between confirmations, which find a watch that is silent. */
+    private static final double CONFIRM_CHANGE_SHARE = 0.66;
+
+    /** Part of the bound on revoked keys between confirmations, so that one may fail before keys are refused. */
+    private static final double CONFIRM_REVOKE_SHARE = 0.45;
+
+    private final TrafficBounds bounds;
+
+    StorePace(TrafficBounds bounds) {
+        this.bounds = bounds;
+    }
 
     /** Returns the pause after a change, in milliseconds. */
-    static long gatherMillis(int instances) {
-        return Math.min(LONGEST_GATHER_MS, GATHER_PER_INSTANCE_MS * Math.max(1, instances));
+    long gatherMillis(int instances) {
+        long longest = (long) (GATHER_SHARE * bounds.changeMillis());
+        return Math.min(longest, GATHER_PER_INSTANCE_MS * Math.max(1, instances));
     }
 
     /** Returns the time between confirmations, in milliseconds. */
-    static long confirmMillis(int instances) {
-        return Math.min(LONGEST_CONFIRM_MS, CONFIRM_MS + CONFIRM_PER_INSTANCE_MS * Math.max(0, instances - 1));
+    long confirmMillis(int instances) {
+        long longest = (long)
+                Math.min(CONFIRM_CHANGE_SHARE * bounds.changeMillis(), CONFIRM_REVOKE_SHARE * bounds.revokeMillis());
+        return Math.min(longest, CONFIRM_MS + CONFIRM_PER_INSTANCE_MS * Math.max(0, instances - 1));
     }
 }
--- a/org.cuminspur/src/org/cuminspur/traffic/TrafficBounds.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/TrafficBounds.java
@@ -4,6 +4,7 @@
  * Bounds that the deployment sets, shared by all instances of the fleet; immutable.
  *
  * @param revokeMillis how long after its revocation a key may still be accepted
+ * @param changeMillis how long after a change in the store an instance may still act by what was before
  * @param lapseReturnMillis how long after the store's return an upstream that lapsed meanwhile may be missing
  * @param retryRatio retries allowed for each request to a service
  * @param retrySlack retries allowed besides, in each window
@@ -15,6 +16,7 @@
  */
 public record TrafficBounds(
         long revokeMillis,
+        long changeMillis,
         long lapseReturnMillis,
         double retryRatio,
         double retrySlack,
