Soak real processes in random faults; show where every answer ends

The soak starts instances as processes of their own, with links that are silenced, slowed, cut one way or reset by a loopback proxy, signals that stop, pause and kill, a store and upstreams that fail as the users say, and callers that keep their connections. Eleven promises are checked from what callers and upstreams saw; ChecksTest plants a fault for each.

Cause: on a connection that is not kept (planned stop, or a view that grows old) the server library ended the body with the connection, so that a caller could not tell a whole answer from one whose instance was killed. Ruled out: the upstreams, which had sent all events. Change: answers without a length are sent in chunks always.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerReply.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerReply.java
@@ -3,6 +3,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import io.undertow.util.Protocols;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -47,10 +50,25 @@
     void begin(int status, HeaderMap headers) {
         exchange.setStatusCode(status);
         headers.forEach(values -> exchange.getResponseHeaders().putAll(values.getHeaderName(), values));
+        if (mustShowItsEnd(status)) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
         channel = exchange.getResponseChannel();
         channel.getWriteSetter().set(writable -> drain());
     }
 
+    /**
+     * Returns whether the body needs chunks. The library would end it with a connection that is not kept, so that a
+     * caller could not tell a whole answer from one that this process did not live to finish.
+     */
+    private boolean mustShowItsEnd(int status) {
+        return exchange.getProtocol().equals(Protocols.HTTP_1_1)
+                && !exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                && !exchange.getRequestMethod().equals(Methods.HEAD)
+                && status != StatusCodes.NO_CONTENT
+                && status != StatusCodes.NOT_MODIFIED;
+    }
+
     /** Fixes status and headers, and writes the whole body. */
     void answer(int status, HeaderMap headers, byte[] body) {
         headers.put(Headers.CONTENT_LENGTH, body.length);
--- /dev/null
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
@@ -0,0 +1,150 @@
+package org.cuminspur.soak.internal;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.stream.Collectors;
+
+/**
+ * What callers, upstreams and the operator saw, and what was done to the fleet; thread-safe.
+ *
+ * <p>All times are in milliseconds since the start of the soak, on one clock.
+ */
+final class History {
+    /** The kinds of request that callers send. */
+    enum Kind {
+        /** Must not run twice. */
+        BOOK("/book/x", false),
+        /** May repeat. */
+        LOOK("/look/x", true),
+        /** A stream that must not run twice. */
+        DRAFT("/draft/x", false),
+        /** A stream that may go on at another upstream. */
+        CHAT("/chat/x", true);
+
+        private final String path;
+        private final boolean repeats;
+
+        Kind(String path, boolean repeats) {
+            this.path = path;
+            this.repeats = repeats;
+        }
+
+        String path() {
+            return path;
+        }
+
+        boolean repeats() {
+            return repeats;
+        }
+
+        boolean stream() {
+            return this == DRAFT || this == CHAT;
+        }
+    }
+
+    /** How a request ended for its caller. */
+    enum End {
+        /** A whole answer, of whatever status. */
+        WHOLE,
+        /** The connection ended or broke before that. */
+        CUT,
+        /** The caller's patience was over. */
+        TIMED_OUT,
+        /** No connection could be made, or it was closed before a byte was sent. */
+        NOT_SENT
+    }
+
+    /** What the operator or an upstream said through the store. */
+    enum Said {
+        KEY_REVOKED,
+        UPSTREAM_LEAVES,
+        DOMAIN_EMPTIED,
+        DOMAIN_RESTORED,
+        UPSTREAM_STARTED
+    }
+
+    /**
+     * One request, seen by its caller; immutable.
+     *
+     * @param start which start of the instance's process took it
+     * @param status 0 if there was no head of an answer
+     * @param own whether the answer holds all that belongs to it and nothing else; for successes only
+     */
+    record Call(
+            String id,
+            Kind kind,
+            String instance,
+            int start,
+            String key,
+            long sentMillis,
+            long endMillis,
+            End end,
+            int status,
+            boolean own) {}
+
+    /** One run of a request, seen by an upstream; {@code broken} says that the upstream itself spoiled the answer. */
+    record Run(String id, Kind kind, String upstream, String domain, String account, long atMillis, boolean broken) {}
+
+    /** A change, and when the store had acknowledged it; immutable. */
+    record Change(Said said, String subject, long atMillis) {}
+
+    /** A fault on an instance, an upstream, the store or a link; {@code target} is empty if it is on all instances. */
+    record Fault(String kind, String target, long fromMillis, long toMillis) {
+        boolean during(long from, long to) {
+            return fromMillis <= to && toMillis >= from;
+        }
+    }
+
+    private final long began = System.nanoTime();
+    private final Queue<Call> calls = new ConcurrentLinkedQueue<>();
+    private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
+    private final Queue<Change> changes = new ConcurrentLinkedQueue<>();
+    private final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
+
+    /** Returns the present time. */
+    long now() {
+        return (System.nanoTime() - began) / 1_000_000;
+    }
+
+    void add(Call call) {
+        calls.add(call);
+    }
+
+    void add(Run run) {
+        runs.add(run);
+    }
+
+    void add(Change change) {
+        changes.add(change);
+    }
+
+    void add(Fault fault) {
+        faults.add(fault);
+    }
+
+    List<Call> calls() {
+        return List.copyOf(calls);
+    }
+
+    List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
+    List<Change> changes() {
+        return List.copyOf(changes);
+    }
+
+    List<Fault> faults() {
+        return List.copyOf(faults);
+    }
+
+    Map<String, Call> callsById() {
+        return calls.stream().collect(Collectors.toMap(Call::id, call -> call));
+    }
+
+    Map<String, List<Run>> runsById() {
+        return runs.stream().collect(Collectors.groupingBy(Run::id));
+    }
+}
--- /dev/null
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Operator.java
@@ -0,0 +1,96 @@
+package org.cuminspur.soak.internal;
+
+import java.util.List;
+import org.cuminspur.soak.internal.History.Change;
+import org.cuminspur.soak.internal.History.Said;
+import org.cuminspur.standin.users.UsersConfig;
+import org.cuminspur.standin.users.UsersStore;
+
+/**
+ * Publishes configurations and entries, and records when the store had acknowledged each; thread-safe.
+ *
+ * <p>Each configuration holds two keys, of which the next one drops the older.
+ */
+final class Operator {
+    /** The account that all callers belong to. */
+    static final String ACCOUNT = "account";
+
+    /** Service of streams, whose upstreams can be cold. */
+    static final String MODEL = "model";
+
+    /** Service of all other requests. */
+    static final String APP = "app";
+
+    private static final String KEY_PREFIX = "key-";
+    private static final int MAX_ATTEMPTS = 2;
+
+    private final UsersStore store;
+    private final History history;
+    private final UsersConfig config;
+    private int newest = 1;
+
+    Operator(UsersStore store, History history, long timeoutMillis) {
+        this.store = store;
+        this.history = history;
+        this.config = new UsersConfig()
+                .service(MODEL, true)
+                .service(APP, false)
+                .route("/chat/", "stream", MODEL, MAX_ATTEMPTS, timeoutMillis)
+                .route("/draft/", "stream", MODEL, 1, timeoutMillis)
+                .route("/look/", "idempotent", APP, MAX_ATTEMPTS, timeoutMillis)
+                .route("/book/", "non_idempotent", APP, 1, timeoutMillis);
+        publish();
+    }
+
+    /** Returns the number of a key, by which later keys are told from earlier ones. */
+    static int number(String key) {
+        return Integer.parseInt(key.substring(KEY_PREFIX.length()));
+    }
+
+    /** Returns the keys in force, newest first, and the one that was dropped last. */
+    synchronized List<String> keys() {
+        return List.of(key(newest), key(newest - 1), key(newest - 2));
+    }
+
+    /** Publishes a configuration with a new key and without the oldest one. */
+    synchronized void changeKeys() {
+        newest++;
+        publish();
+        history.add(new Change(Said.KEY_REVOKED, key(newest - 2), history.now()));
+    }
+
+    /** Writes an upstream's entry. */
+    void announce(SoakUpstream upstream, String service, boolean leaving, long coldLeftMillis) {
+        String state = leaving ? "draining" : "ready";
+        store.put(
+                UsersStore.UPSTREAMS + upstream.id(),
+                UsersConfig.server(service, upstream.link().port(), upstream.domain(), state, coldLeftMillis));
+        if (leaving) {
+            history.add(new Change(Said.UPSTREAM_LEAVES, upstream.id(), history.now()));
+        }
+    }
+
+    /** Removes an upstream's entry. */
+    void forget(SoakUpstream upstream) {
+        store.remove(UsersStore.UPSTREAMS + upstream.id());
+    }
+
+    void empty(String domain) {
+        store.put(UsersStore.EMPTIED + domain, "{}");
+        history.add(new Change(Said.DOMAIN_EMPTIED, domain, history.now()));
+    }
+
+    void restore(String domain) {
+        history.add(new Change(Said.DOMAIN_RESTORED, domain, history.now()));
+        store.remove(UsersStore.EMPTIED + domain);
+    }
+
+    private void publish() {
+        config.account(ACCOUNT, key(newest), key(newest - 1));
+        store.put(UsersStore.CONFIGURATION, config.version());
+    }
+
+    private static String key(int number) {
+        return KEY_PREFIX + number;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -0,0 +1,200 @@
+package org.cuminspur.soak.internal;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.soak.internal.History.Change;
+import org.cuminspur.soak.internal.History.Fault;
+import org.cuminspur.soak.internal.History.Said;
+import org.cuminspur.standin.users.StoreSwitches;
+import org.cuminspur.standin.users.UsersStore;
+
+/**
+ * The instances, their store and their upstreams, to which the steps of a plan are done; thread-safe.
+ *
+ * <p>A step ends by itself after its time. Where two steps of one kind overlap on one target, the first end ends both.
+ */
+final class SoakFleet implements AutoCloseable {
+    private static final int MODELS = 5;
+    private static final int APPS = 3;
+    private static final long SLOW_STORE_MS = 250;
+
+    /** Time that an upstream serves on after it said that it leaves; as long as requests may still reach it. */
+    private static final long SERVE_ON_MS = Checks.LEAVE_MS + 1_500;
+
+    private static final Map<Plan.Kind, SoakUpstream.Mode> UPSTREAM_MODES = Map.of(
+            Plan.Kind.UPSTREAM_SLOW, SoakUpstream.Mode.SLOW,
+            Plan.Kind.UPSTREAM_ERRORS, SoakUpstream.Mode.ERRORS,
+            Plan.Kind.UPSTREAM_LOSES_ANSWERS, SoakUpstream.Mode.LOSES_ANSWERS,
+            Plan.Kind.UPSTREAM_GARBLES, SoakUpstream.Mode.GARBLES,
+            Plan.Kind.UPSTREAM_EXTRA_ANSWERS, SoakUpstream.Mode.EXTRA_ANSWERS,
+            Plan.Kind.UPSTREAM_FULL, SoakUpstream.Mode.FULL);
+
+    private static final Map<Plan.Kind, FaultProxy.Mode> LINK_MODES = Map.of(
+            Plan.Kind.CALLERS_RESET, FaultProxy.Mode.RESET,
+            Plan.Kind.CALLERS_SILENT, FaultProxy.Mode.SILENT,
+            Plan.Kind.STORE_LINK_SILENT, FaultProxy.Mode.SILENT,
+            Plan.Kind.STORE_LINK_RESET, FaultProxy.Mode.RESET,
+            Plan.Kind.STORE_LINK_ONE_WAY, FaultProxy.Mode.ONE_WAY,
+            Plan.Kind.STORE_LINK_SLOW, FaultProxy.Mode.SLOW,
+            Plan.Kind.UPSTREAM_SILENT, FaultProxy.Mode.SILENT,
+            Plan.Kind.UPSTREAM_RESET, FaultProxy.Mode.RESET);
+
+    private final History history;
+    private final UsersStore store = new UsersStore();
+    private final Operator operator;
+    private final List<RouterProcess> instances = new ArrayList<>();
+    private final List<SoakUpstream> models = new CopyOnWriteArrayList<>();
+    private final List<SoakUpstream> apps = new CopyOnWriteArrayList<>();
+    private final List<SoakUpstream> left = new CopyOnWriteArrayList<>();
+    private final List<String> domains;
+    private final ScheduledExecutorService later = Executors.newScheduledThreadPool(2, task -> {
+        Thread thread = new Thread(task, "soak-steps");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private int released;
+
+    SoakFleet(int size, List<String> domains, List<String> command, Path folder, History history) throws IOException {
+        this.history = history;
+        this.domains = domains;
+        operator = new Operator(store, history, SoakCaller.PATIENCE_MS);
+        for (int i = 0; i < MODELS; i++) {
+            models.add(upstream("model-" + i, Operator.MODEL, i, 0));
+        }
+        for (int i = 0; i < APPS; i++) {
+            apps.add(upstream("app-" + i, Operator.APP, i, 0));
+        }
+        for (int i = 0; i < size; i++) {
+            String domain = domains.get(i % domains.size());
+            instances.add(new RouterProcess("router-" + i, domain, command, store.port(), folder));
+        }
+    }
+
+    Operator operator() {
+        return operator;
+    }
+
+    List<RouterProcess> instances() {
+        return List.copyOf(instances);
+    }
+
+    /** Begins a step and plans its end. */
+    void apply(Plan.Step step) {
+        RouterProcess instance = instances.get(step.index() % instances.size());
+        switch (step.kind()) {
+            case INSTANCE_STOP -> signal(instance, Plan.STOP, "TERM", step);
+            case INSTANCE_KILL -> signal(instance, "kill", "KILL", step);
+            case INSTANCE_PAUSE -> pause(instance, step);
+            case ALL_KILLED -> instances.forEach(one -> signal(one, "kill", "KILL", step));
+            case CALLERS_RESET, CALLERS_SILENT -> link(instance.callersLink(), instance.name(), step);
+            case STORE_LINK_SILENT, STORE_LINK_RESET, STORE_LINK_ONE_WAY, STORE_LINK_SLOW ->
+                link(instance.storeLink(), instance.name(), step);
+            case UPSTREAM_SILENT, UPSTREAM_RESET ->
+                link(upstream(step).link(), upstream(step).id(), step);
+            case UPSTREAM_RELEASE -> release(step);
+            case DOMAIN_EMPTIED -> empty(domains.get(step.index() % domains.size()), step);
+            case KEYS_CHANGE -> operator.changeKeys();
+            case STORE_REFUSES, STORE_SILENT, STORE_SLOW, STORE_LOSES_REPLIES, STORE_FORGETS, STORE_WATCHES_DEAF ->
+                store(step);
+            default -> spoil(upstream(step), step);
+        }
+    }
+
+    @Override
+    public void close() throws InterruptedException {
+        later.shutdownNow();
+        for (RouterProcess instance : instances) {
+            instance.close();
+        }
+        List.of(models, apps, left).forEach(list -> list.forEach(SoakUpstream::close));
+        store.close();
+    }
+
+    private void signal(RouterProcess instance, String kind, String signal, Plan.Step step) {
+        // The process that starts in its place is disturbed until it serves.
+        fault(kind, instance.name(), step.kind() == Plan.Kind.INSTANCE_STOP ? Plan.STOP_MS : Plan.RESTART_MS);
+        instance.signal(signal);
+    }
+
+    private void pause(RouterProcess instance, Plan.Step step) {
+        fault("pause", instance.name(), step.forMillis());
+        instance.signal("STOP");
+        after(step, () -> instance.signal("CONT"));
+    }
+
+    private void link(FaultProxy link, String target, Plan.Step step) {
+        fault(step.kind().name(), target, step.forMillis());
+        link.mode(LINK_MODES.get(step.kind()));
+        after(step, () -> link.mode(FaultProxy.Mode.WHOLE));
+    }
+
+    private void spoil(SoakUpstream upstream, Plan.Step step) {
+        upstream.mode(UPSTREAM_MODES.get(step.kind()));
+        after(step, () -> upstream.mode(SoakUpstream.Mode.SOUND));
+    }
+
+    private void store(Plan.Step step) {
+        fault(step.kind().name(), "", step.forMillis());
+        StoreSwitches switches = store.switches();
+        switch (step.kind()) {
+            case STORE_REFUSES -> switches.mode(StoreSwitches.Mode.REFUSING);
+            case STORE_SILENT -> switches.mode(StoreSwitches.Mode.SILENT);
+            case STORE_SLOW -> switches.delayMillis(SLOW_STORE_MS);
+            case STORE_LOSES_REPLIES -> switches.loseReplies(1 + step.index() % 3);
+            case STORE_FORGETS -> switches.dropHistory(store.revision());
+            default -> switches.deafWatches(true);
+        }
+        after(step, () -> {
+            switches.mode(StoreSwitches.Mode.UP);
+            switches.delayMillis(0);
+            switches.deafWatches(false);
+        });
+    }
+
+    /** Starts an upstream in place of another one, which says that it leaves and serves on for a while. */
+    private synchronized void release(Plan.Step step) {
+        List<SoakUpstream> service = step.index() % 2 == 0 ? models : apps;
+        String name = service == models ? Operator.MODEL : Operator.APP;
+        SoakUpstream old = service.remove(0);
+        service.add(upstream(name + "-new-" + released, name, released, service == models ? Checks.COLD_MS : 0));
+        released++;
+        left.add(old);
+        operator.announce(old, name, true, 0);
+        later.schedule(() -> operator.forget(old), SERVE_ON_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void empty(String domain, Plan.Step step) {
+        operator.empty(domain);
+        after(step, () -> operator.restore(domain));
+    }
+
+    private SoakUpstream upstream(Plan.Step step) {
+        List<SoakUpstream> service = step.index() % 2 == 0 ? models : apps;
+        return service.get(step.index() / 2 % service.size());
+    }
+
+    private SoakUpstream upstream(String id, String service, int number, long coldMillis) {
+        SoakUpstream upstream = new SoakUpstream(id, domains.get(number % domains.size()), history);
+        if (coldMillis > 0) {
+            history.add(new Change(Said.UPSTREAM_STARTED, id, history.now()));
+        }
+        operator.announce(upstream, service, false, coldMillis);
+        return upstream;
+    }
+
+    private void fault(String kind, String target, long millis) {
+        long now = history.now();
+        history.add(new Fault(kind, target, now, now + millis));
+    }
+
+    private void after(Plan.Step step, Runnable end) {
+        later.schedule(end, step.forMillis(), TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -0,0 +1,151 @@
+package org.cuminspur.soak.internal;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Run;
+import org.cuminspur.standin.raw.RawUpstream.Connection;
+import org.cuminspur.standin.users.UsersServer;
+
+/**
+ * An upstream that records what it runs and spoils its answers as it is told; thread-safe.
+ *
+ * <p>Every answer holds the id of its request, so that a caller can tell its own from any other.
+ */
+final class SoakUpstream implements AutoCloseable {
+    /** How requests are met. */
+    enum Mode {
+        SOUND,
+        /** Each request takes longer. */
+        SLOW,
+        /** Runs a request and answers with a failure. */
+        ERRORS,
+        /** Runs a request and closes the connection without an answer. */
+        LOSES_ANSWERS,
+        /** Breaks off in the middle of an answer. */
+        GARBLES,
+        /** Answers twice. */
+        EXTRA_ANSWERS,
+        /** Says that it has not run a request. */
+        FULL
+    }
+
+    static final int EVENTS = 8;
+
+    private static final long EVENT_GAP_MS = 25;
+    private static final long WORK_MS = 15;
+    private static final long SLOW_MS = 700;
+
+    /** One request in this many is met in another mode than the usual one, so that few callers see only failures. */
+    private static final int SPOILED_EVERY = 2;
+
+    private final String id;
+    private final String domain;
+    private final History history;
+    private final UsersServer server;
+    private final FaultProxy link;
+    private volatile Mode mode = Mode.SOUND;
+
+    SoakUpstream(String id, String domain, History history) {
+        this.id = id;
+        this.domain = domain;
+        this.history = history;
+        this.server = new UsersServer(id, this::answer);
+        this.link = new FaultProxy(server.port());
+    }
+
+    String id() {
+        return id;
+    }
+
+    String domain() {
+        return domain;
+    }
+
+    /** Returns the link by which all instances reach it. */
+    FaultProxy link() {
+        return link;
+    }
+
+    void mode(Mode next) {
+        mode = next;
+    }
+
+    /** Returns the body of the whole answer to a request that is no stream. */
+    static String body(String requestId) {
+        return "done " + requestId;
+    }
+
+    /** Returns an event of the stream that answers a request. */
+    static String event(String requestId, int number) {
+        return "id: " + number + "\ndata: " + requestId + "-" + number + "\n\n";
+    }
+
+    @Override
+    public void close() {
+        link.close();
+        server.close();
+    }
+
+    private boolean answer(Connection connection, UsersServer.Request request) throws IOException {
+        Mode now = Math.floorMod(request.id().hashCode(), SPOILED_EVERY) == 0 ? mode : Mode.SOUND;
+        if (now == Mode.FULL) {
+            return UsersServer.full().answer(connection, request);
+        }
+        Kind kind = Arrays.stream(Kind.values())
+                .filter(one -> request.path().startsWith(one.path()))
+                .findFirst()
+                .orElse(Kind.BOOK);
+        history.add(new Run(
+                request.id(),
+                kind,
+                id,
+                domain,
+                request.account(),
+                history.now(),
+                now != Mode.SOUND && now != Mode.SLOW));
+        pause(now == Mode.SLOW ? SLOW_MS : WORK_MS);
+        if (now == Mode.LOSES_ANSWERS) {
+            return false;
+        } else if (now == Mode.ERRORS) {
+            return UsersServer.failing(500).answer(connection, request);
+        }
+        return kind.stream() ? stream(connection, request, now) : plain(connection, request, now);
+    }
+
+    private static boolean plain(Connection connection, UsersServer.Request request, Mode mode) throws IOException {
+        String body = body(request.id());
+        String whole = UsersServer.head(200, request, "Content-Length: " + body.length() + "\r\n") + body;
+        if (mode == Mode.GARBLES) {
+            connection.send(whole.substring(0, whole.length() - body.length() / 2));
+            return false;
+        }
+        connection.send(mode == Mode.EXTRA_ANSWERS ? whole + whole : whole);
+        return true;
+    }
+
+    private static boolean stream(Connection connection, UsersServer.Request request, Mode mode) throws IOException {
+        connection.send(
+                UsersServer.head(200, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+        int first = request.lastEvent() + 1;
+        for (int number = first; number <= EVENTS; number++) {
+            if (mode == Mode.GARBLES && number == (first + EVENTS) / 2) {
+                connection.send("40\r\nid: " + number + "\nda");
+                return false;
+            }
+            UsersServer.chunk(connection, event(request.id(), number));
+            pause(EVENT_GAP_MS);
+        }
+        connection.send("0\r\n\r\n");
+        return true;
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -0,0 +1,126 @@
+package org.cuminspur.soak.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Arrays;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.cuminspur.soak.internal.History.Call;
+import org.cuminspur.soak.internal.History.Change;
+import org.cuminspur.soak.internal.History.End;
+import org.cuminspur.soak.internal.History.Fault;
+import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Run;
+import org.cuminspur.soak.internal.History.Said;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that each checker of the soak reports a planted fault, and not what the platform's pages allow. */
+public class ChecksTest {
+    private static final String INSTANCE = "router-0";
+
+    @DataProvider
+    public Object[][] planted() {
+        return Stream.of(answers(), changes()).flatMap(Arrays::stream).toArray(Object[][]::new);
+    }
+
+    private static Object[][] answers() {
+        return new Object[][] {
+            row("at-most-once", seen -> {
+                seen.add(call("1", Kind.BOOK, 1, 100, End.WHOLE, 200));
+                seen.add(run("1", Kind.BOOK, 110));
+                seen.add(run("1", Kind.BOOK, 120));
+            }),
+            row("true-refusals", seen -> {
+                seen.add(call("1", Kind.DRAFT, 1, 100, End.WHOLE, 503));
+                seen.add(run("1", Kind.DRAFT, 110));
+            }),
+            row("own-whole-answers", seen -> {
+                seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-1", 100, 200, End.WHOLE, 200, false));
+                seen.add(run("1", Kind.LOOK, 110));
+            }),
+            row("only-what-was-asked", seen -> seen.add(run("1", Kind.LOOK, 110))),
+            row("planned-stop-cuts-nothing", seen -> {
+                seen.add(new Fault(Plan.STOP, INSTANCE, 100, 8_100));
+                seen.add(call("1", Kind.LOOK, 1, 200, End.CUT, 0));
+                seen.add(run("1", Kind.LOOK, 210));
+            }),
+            row("recovery", seen -> {
+                seen.add(new Fault("kill", INSTANCE, 100, 200));
+                seen.add(call("1", Kind.LOOK, 1, 9_000, End.NOT_SENT, 0));
+            })
+        };
+    }
+
+    private static Object[][] changes() {
+        return new Object[][] {
+            row("leaving-gets-nothing", seen -> {
+                seen.add(new Change(Said.UPSTREAM_LEAVES, "upstream", 5_000));
+                seen.add(call("1", Kind.LOOK, 1, 7_100, End.WHOLE, 200));
+                seen.add(run("1", Kind.LOOK, 7_110));
+            }),
+            row("emptied-gets-nothing", seen -> {
+                seen.add(new Change(Said.DOMAIN_EMPTIED, "north", 5_000));
+                seen.add(call("1", Kind.LOOK, 1, 10_100, End.WHOLE, 200));
+                seen.add(run("1", Kind.LOOK, 10_110));
+            }),
+            row("revoked-key", seen -> {
+                seen.add(new Change(Said.KEY_REVOKED, "key-1", 5_000));
+                seen.add(call("1", Kind.LOOK, 1, 10_001, End.CUT, 0));
+                seen.add(run("1", Kind.LOOK, 10_110));
+            }),
+            row("no-rollback", seen -> {
+                seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-3", 100, 200, End.WHOLE, 200, true));
+                seen.add(call("2", Kind.LOOK, 1, 460, End.WHOLE, 200));
+                seen.add(run("1", Kind.LOOK, 110));
+                seen.add(run("2", Kind.LOOK, 470));
+            }),
+            row("cold-rate", seen -> {
+                seen.add(new Change(Said.UPSTREAM_STARTED, "upstream", 1_000));
+                IntStream.range(0, 27).forEach(i -> {
+                    seen.add(call("c" + i, Kind.LOOK, 1, 1_000, End.WHOLE, 200));
+                    seen.add(run("c" + i, Kind.LOOK, 1_100 + 30 * i));
+                });
+            })
+        };
+    }
+
+    @Test(dataProvider = "planted")
+    public void aPlantedFaultIsReported(String promise, Consumer<History> plant) {
+        History seen = new History();
+        plant.accept(seen);
+        assertEquals(Checks.violations(seen).size(), 1, Checks.violations(seen).toString());
+        assertTrue(Checks.violations(seen).get(0).startsWith(promise + ": "));
+    }
+
+    @Test
+    public void everyPromiseHasAPlantedFault() {
+        assertEquals(planted().length, Checks.ALL.size());
+    }
+
+    @Test
+    public void whatHappensInADisturbanceIsAllowed() {
+        History seen = new History();
+        seen.add(new Fault("STORE_LINK_SILENT", INSTANCE, 6_000, 6_500));
+        seen.add(new Change(Said.UPSTREAM_LEAVES, "upstream", 5_000));
+        seen.add(call("1", Kind.LOOK, 1, 7_100, End.WHOLE, 200));
+        seen.add(run("1", Kind.LOOK, 7_110));
+        seen.add(new Fault("kill", INSTANCE, 7_000, 7_500));
+        seen.add(call("2", Kind.LOOK, 1, 7_000, End.CUT, 0));
+        assertEquals(Checks.violations(seen).size(), 0, Checks.violations(seen).toString());
+    }
+
+    private static Object[] row(String promise, Consumer<History> plant) {
+        return new Object[] {promise, plant};
+    }
+
+    private static Call call(String id, Kind kind, int start, long sent, End end, int status) {
+        return new Call(id, kind, INSTANCE, start, "key-1", sent, sent + 50, end, status, true);
+    }
+
+    private static Run run(String id, Kind kind, long at) {
+        return new Run(id, kind, "upstream", "north", Operator.ACCOUNT, at, false);
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersCaller.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersCaller.java
@@ -71,6 +71,8 @@
             read(body, Integer.parseInt(length.group(1)));
         } else if (head.toString().toLowerCase(java.util.Locale.ROOT).contains("chunked")) {
             chunks(body);
+        } else {
+            body.append(rest());
         }
         return new Answer(head.toString(), body.toString());
     }
--- a/platform.test/tst/org/cuminspur/platform/BeliefsTest.java
+++ b/platform.test/tst/org/cuminspur/platform/BeliefsTest.java
@@ -61,6 +61,8 @@
             assertTrue(answer.has("Connection: close"), answer.head());
         }
         assertTrue(!deployment.ready());
+        UsersCaller.Answer stream = deployment.post("/chat/x", "doubtful-stream", "");
+        assertTrue(stream.has("Connection: close") && stream.has("Transfer-Encoding: chunked"), stream.head());
         Deployment.pause(1_500);
         UsersCaller.Answer refusal = deployment.post("/book/x", "stale", "");
         assertEquals(refusal.status(), 503);
