--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -49,7 +49,11 @@
     /** Statuses that promise that the request has not run and never will. */
     private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
 
+    /** Least time that an upstream must be told; the shortest answers take half of it. */
+    static final long LEAST_OFFER_MS = 30;
+
     private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
     private static final int REDIRECTION = 300;
     private static final long SECOND_MS = 1_000;
 
@@ -59,6 +63,8 @@
             Map.entry("true-refusals", Checks::trueRefusals),
             Map.entry("own-whole-answers", Checks::ownWholeAnswers),
             Map.entry("only-what-was-asked", Checks::onlyWhatWasAsked),
+            Map.entry("ready-answers-delivered", Checks::readyAnswersDelivered),
+            Map.entry("no-send-for-show", Checks::noSendForShow),
             Map.entry("leaving-gets-nothing", Checks::leavingGetsNothing),
             Map.entry("emptied-gets-nothing", Checks::emptiedGetsNothing),
             Map.entry("revoked-key", Checks::revokedKey),
@@ -105,6 +111,23 @@
                 .map(run -> "no caller asked for " + run);
     }
 
+    /** An upstream that was sound had an answer, and the caller got a failure that is not the upstream's. */
+    private static Stream<String> readyAnswersDelivered(History history) {
+        Map<String, List<Run>> runs = history.runsById();
+        return history.calls().stream()
+                .filter(call -> call.end() == End.WHOLE && call.status() > SERVER_ERROR)
+                .filter(call -> soundlyRun(history, call, runs.get(call.id())))
+                .filter(call -> !disturbed(history, call.instance(), call.sentMillis(), call.endMillis()))
+                .map(call -> "an answer was ready: " + call + " " + runs.get(call.id()));
+    }
+
+    /** A send with too little time for any answer offers the request to nobody. */
+    private static Stream<String> noSendForShow(History history) {
+        return history.runs().stream()
+                .filter(run -> run.leftMillis() < LEAST_OFFER_MS)
+                .map(run -> "offered " + run.leftMillis() + " ms: " + run);
+    }
+
     private static Stream<String> leavingGetsNothing(History history) {
         return changes(history, Said.UPSTREAM_LEAVES)
                 .flatMap(left -> history.runs().stream()
@@ -175,11 +198,7 @@
                         .anyMatch(fault -> fault.kind().equals(Plan.STOP)))
                 .filter(call -> faultsOn(history, call.instance(), call.sentMillis() - CONTACT_MS, call.endMillis())
                         .allMatch(fault -> fault.kind().equals(Plan.STOP)))
-                .filter(call -> runs.containsKey(call.id())
-                        && runs.get(call.id()).stream().noneMatch(Run::broken)
-                        && runs.get(call.id()).stream()
-                                .noneMatch(
-                                        run -> disturbed(history, run.upstream(), call.sentMillis(), call.endMillis())))
+                .filter(call -> soundlyRun(history, call, runs.get(call.id())))
                 .map(call -> "cut in a planned stop: " + call);
     }
 
@@ -210,6 +229,14 @@
                 .allMatch(call -> !disturbed(history, call.instance(), since.atMillis() - CONTACT_MS, run.atMillis()));
     }
 
+    /** Returns whether a request was run, and neither its upstreams nor the links to them spoiled its answer. */
+    private static boolean soundlyRun(History history, Call call, List<Run> runs) {
+        return runs != null
+                && runs.stream()
+                        .noneMatch(run -> run.broken()
+                                || disturbed(history, run.upstream(), call.sentMillis(), call.endMillis()));
+    }
+
     private static boolean disturbed(History history, String target, long from, long to) {
         return faultsOn(history, target, from, to).findAny().isPresent();
     }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
@@ -84,8 +84,21 @@
             int status,
             boolean own) {}
 
-    /** One run of a request, seen by an upstream; {@code broken} says that the upstream itself spoiled the answer. */
-    record Run(String id, Kind kind, String upstream, String domain, String account, long atMillis, boolean broken) {}
+    /**
+     * One run of a request, seen by an upstream; immutable.
+     *
+     * @param leftMillis how long the upstream was told that the answer is of use
+     * @param broken whether the upstream itself spoiled the answer
+     */
+    record Run(
+            String id,
+            Kind kind,
+            String upstream,
+            String domain,
+            String account,
+            long atMillis,
+            long leftMillis,
+            boolean broken) {}
 
     /** A change, and when the store had acknowledged it; immutable. */
     record Change(Said said, String subject, long atMillis) {}
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -97,14 +97,9 @@
                 .filter(one -> request.path().startsWith(one.path()))
                 .findFirst()
                 .orElse(Kind.BOOK);
+        boolean spoils = now != Mode.SOUND && now != Mode.SLOW;
         history.add(new Run(
-                request.id(),
-                kind,
-                id,
-                domain,
-                request.account(),
-                history.now(),
-                now != Mode.SOUND && now != Mode.SLOW));
+                request.id(), kind, id, domain, request.account(), history.now(), request.leftMillis(), spoils));
         pause(now == Mode.SLOW ? SLOW_MS : WORK_MS);
         if (now == Mode.LOSES_ANSWERS) {
             return false;
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -35,13 +35,21 @@
             }),
             row("true-refusals", seen -> {
                 seen.add(call("1", Kind.DRAFT, 1, 100, End.WHOLE, 503));
-                seen.add(run("1", Kind.DRAFT, 110));
+                seen.add(new Run("1", Kind.DRAFT, "upstream", "north", Operator.ACCOUNT, 110, 1_000, true));
             }),
             row("own-whole-answers", seen -> {
                 seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-1", 100, 200, End.WHOLE, 200, false));
                 seen.add(run("1", Kind.LOOK, 110));
             }),
             row("only-what-was-asked", seen -> seen.add(run("1", Kind.LOOK, 110))),
+            row("ready-answers-delivered", seen -> {
+                seen.add(call("1", Kind.LOOK, 1, 100, End.WHOLE, 502));
+                seen.add(run("1", Kind.LOOK, 110));
+            }),
+            row("no-send-for-show", seen -> {
+                seen.add(call("1", Kind.LOOK, 1, 100, End.WHOLE, 200));
+                seen.add(new Run("1", Kind.LOOK, "upstream", "north", Operator.ACCOUNT, 110, 1, false));
+            }),
             row("planned-stop-cuts-nothing", seen -> {
                 seen.add(new Fault(Plan.STOP, INSTANCE, 100, 8_100));
                 seen.add(call("1", Kind.LOOK, 1, 200, End.CUT, 0));
@@ -121,6 +129,6 @@
     }
 
     private static Run run(String id, Kind kind, long at) {
-        return new Run(id, kind, "upstream", "north", Operator.ACCOUNT, at, false);
+        return new Run(id, kind, "upstream", "north", Operator.ACCOUNT, at, 1_000, false);
     }
 }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersServer.java
@@ -41,6 +41,12 @@
             return header("Tenant");
         }
 
+        /** Returns how long the answer is said to be of use, in milliseconds; 0 if nothing is said. */
+        public long leftMillis() {
+            String left = header("Deadline-Ms");
+            return left.isEmpty() ? 0 : Long.parseLong(left);
+        }
+
         /** Returns the number of the event after which a stream is to go on, 0 for a new one. */
         public int lastEvent() {
             String after = header("Last-Event-Id");
