--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminspur.standin.users.UsersCaller;
 import org.cuminspur.standin.users.UsersSettings;
 
@@ -22,6 +23,13 @@
     private static final long GRACE_SECONDS = 10;
     private static final int OK = 200;
 
+    /** Ports below those that the system gives to client connections. */
+    private static final int FIRST_PORT = 20_000;
+
+    private static final int LAST_PORT = 30_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(FIRST_PORT + (int) (ProcessHandle.current().pid() % (LAST_PORT - FIRST_PORT)));
+
     private final String name;
     private final String domain;
     private final List<String> command;
@@ -153,11 +161,16 @@
         }
     }
 
+    /** Returns a port that no client connection takes by chance before the process listens on it. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        while (true) {
+            int port = NEXT_PORT.getAndUpdate(last -> last + 1 < LAST_PORT ? last + 1 : FIRST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                // Another process listens there, so the next one is tried.
+                continue;
+            }
         }
     }
 }
