--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/FaultProxy.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/FaultProxy.java
@@ -9,7 +9,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
+import org.cuminspur.standin.Pace;
 
 /**
  * Passes connections on to a port of the loopback address, or harms them as it is told; thread-safe.
@@ -113,7 +113,7 @@
                     awaitNot(Mode.ONE_WAY);
                 }
                 if (mode == Mode.SLOW) {
-                    sleep(SLOW_MS);
+                    Pace.pause(SLOW_MS);
                 }
                 out.write(buffer, 0, count);
                 out.flush();
@@ -130,7 +130,7 @@
 
     private void awaitNot(Mode held) {
         while (mode == held && !server.isClosed()) {
-            sleep(POLL_MS);
+            Pace.pause(POLL_MS);
         }
     }
 
@@ -143,14 +143,6 @@
         }
     }
 
-    private static void sleep(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void daemon(Runnable task) {
         Thread thread = new Thread(task, "fault-proxy");
         thread.setDaemon(true);
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.util.Arrays;
-import java.util.concurrent.TimeUnit;
 import org.cuminspur.soak.internal.History.Kind;
 import org.cuminspur.soak.internal.History.Run;
+import org.cuminspur.standin.Pace;
 import org.cuminspur.standin.raw.RawUpstream.Connection;
 import org.cuminspur.standin.users.UsersServer;
 
@@ -100,7 +100,7 @@
         boolean spoils = now != Mode.SOUND && now != Mode.SLOW;
         history.add(new Run(
                 request.id(), kind, id, domain, request.account(), history.now(), request.leftMillis(), spoils));
-        pause(now == Mode.SLOW ? SLOW_MS : WORK_MS);
+        Pace.pause(now == Mode.SLOW ? SLOW_MS : WORK_MS);
         if (now == Mode.LOSES_ANSWERS) {
             return false;
         } else if (now == Mode.ERRORS) {
@@ -130,17 +130,9 @@
                 return false;
             }
             UsersServer.chunk(connection, event(request.id(), number));
-            pause(EVENT_GAP_MS);
+            Pace.pause(EVENT_GAP_MS);
         }
         connection.send("0\r\n\r\n");
         return true;
     }
-
-    private static void pause(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UsersServer.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.TimeUnit;
+import org.cuminspur.standin.Pace;
 import org.cuminspur.standin.raw.RawUpstream;
 
 /**
@@ -139,21 +139,13 @@
             connection.send(head(200, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
             for (int event = 1; event <= events; event++) {
                 chunk(connection, event(event));
-                pause(gapMillis);
+                Pace.pause(gapMillis);
             }
             connection.send("0\r\n\r\n");
             return true;
         };
     }
 
-    private static void pause(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Returns an event of a stream. */
     public static String event(int number) {
         return "id: " + number + "\ndata: token-" + number + "\n\n";
