Log the load estimates that a placement was based on

The lines of the 74 instances show that the requests over the bound went to the owner of their prompt (reason PROMPT), not what the instance took the owner's load, the mean and the limit to be, nor how old its report was. So an upstream that looked average could not be told from a limit that was too high.

'placed' now has load, meanLoad, loadLimit and reportAgeMillis, and 'ended' the load that the upstream reported in its response. No line is added: about 80 bytes more in two lines of each request. The counter placed.stale-report counts placements on a report over 2 s old, or on none. No decision changes.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -190,7 +190,10 @@
             return;
         }
         from.upstream().recordResponseStarted(from);
-        metadata.load().ifPresent(load -> from.upstream().recordReportedLoad(load.running(), load.waiting(), now()));
+        metadata.load().ifPresent(load -> {
+            log.loadReported(load);
+            from.upstream().recordReportedLoad(load.running(), load.waiting(), now());
+        });
         if (metadata.notRun()) {
             from.discard();
             detach(from);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
@@ -1,15 +1,24 @@
 package org.cuminspur.router.internal.traffic;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.cuminspur.traffic.PlacementDecision;
 import org.cuminspur.traffic.RequestMetadata;
+import org.cuminspur.traffic.ResponseMetadata;
 import org.cuminspur.traffic.UpstreamState;
 import org.cuminspur.traffic.ViewFreshness;
 
 /** Logs and counts the decisions on one request; used on the traffic thread. */
 final class RequestLog {
+    /** Age from which a load report says little about the load now: longer than most requests last. */
+    private static final long STALE_REPORT_MS = 2_000;
+
+    private static final double TENTHS = 10;
+
     private final TrafficContext context;
     private final RequestMetadata call;
+    private long reportedLoad = -1;
 
     RequestLog(TrafficContext context, RequestMetadata call) {
         this.context = context;
@@ -17,41 +26,67 @@
     }
 
     void placed(RoutedCall routed, PlacementDecision decision, int attempt, long now) {
-        UpstreamState upstream = decision.upstream();
+        OptionalLong reportAgeMillis = decision.estimate().reportAgeMillis();
         context.metrics().counter("placed." + decision.reason().name()).inc();
-        context.events()
-                .emit(
-                        "placed",
-                        "request",
-                        call.requestId(),
-                        "route",
-                        routed.route().id().value(),
-                        "upstream",
-                        upstream.id().value(),
-                        "reason",
-                        decision.reason().name(),
-                        "cacheSource",
-                        decision.cacheSource()
-                                .map(source -> source.id().value())
-                                .orElse(""),
-                        "prompt",
-                        Long.toHexString(call.prompt().sharedPrefixKey().orElse(0)),
-                        "sharedTokens",
-                        call.prompt().sharedPrefixTokens(),
-                        "attempt",
-                        attempt,
-                        "own",
-                        upstream.inFlight(),
-                        "waiting",
-                        Math.round(upstream.estimatedWaiting(now)),
-                        "cold",
-                        upstream.isCold(now),
-                        "revision",
-                        routed.revision(),
-                        "viewAgeMillis",
-                        viewAge(context.freshness()),
-                        "leftMillis",
-                        routed.deadlineMillis() - now);
+        if (reportAgeMillis.orElse(Long.MAX_VALUE) > STALE_REPORT_MS) {
+            context.metrics().counter("placed.stale-report").inc();
+        }
+        Object[] choice = {
+            "request",
+            call.requestId(),
+            "route",
+            routed.route().id().value(),
+            "upstream",
+            decision.upstream().id().value(),
+            "reason",
+            decision.reason().name(),
+            "cacheSource",
+            decision.cacheSource().map(source -> source.id().value()).orElse(""),
+            "prompt",
+            Long.toHexString(call.prompt().sharedPrefixKey().orElse(0)),
+            "sharedTokens",
+            call.prompt().sharedPrefixTokens(),
+            "attempt",
+            attempt
+        };
+        Object[] inputs = {
+            "revision",
+            routed.revision(),
+            "viewAgeMillis",
+            viewAge(context.freshness()),
+            "leftMillis",
+            routed.deadlineMillis() - now
+        };
+        Object[] fields = Stream.of(choice, loadFields(decision, now), inputs)
+                .flatMap(Stream::of)
+                .toArray();
+        context.events().emit("placed", fields);
+    }
+
+    private static Object[] loadFields(PlacementDecision decision, long now) {
+        UpstreamState upstream = decision.upstream();
+        PlacementDecision.LoadEstimate estimate = decision.estimate();
+        return new Object[] {
+            "own",
+            upstream.inFlight(),
+            "waiting",
+            Math.round(upstream.estimatedWaiting(now)),
+            "load",
+            tenths(estimate.load()),
+            "meanLoad",
+            tenths(estimate.mean()),
+            "loadLimit",
+            tenths(estimate.limit()),
+            "reportAgeMillis",
+            estimate.reportAgeMillis().orElse(-1),
+            "cold",
+            upstream.isCold(now)
+        };
+    }
+
+    /** Notes the load that an upstream reported in its response, for the line on the end of the request. */
+    void loadReported(ResponseMetadata.ReportedLoad load) {
+        reportedLoad = (long) load.running() + load.waiting();
     }
 
     void attemptFailed(UpstreamExchange exchange, String how, int status, long afterMillis) {
@@ -88,7 +123,10 @@
                         upstream.health().failureRate());
     }
 
-    /** Logs the end of the request; times are since its arrival, {@code firstByteMillis} is -1 without a response. */
+    /**
+     * Logs the end of the request; times are since its arrival, {@code firstByteMillis} is -1 without a response and
+     * {@code reportedLoad} without a load report.
+     */
     void ended(RoutedCall routed, String outcome, int status, int attempts, long firstByteMillis, long millis) {
         String route = routed == null ? "none" : routed.route().id().value();
         context.metrics().counter("requests." + outcome).inc();
@@ -110,10 +148,16 @@
                         firstByteMillis,
                         "millis",
                         millis,
+                        "reportedLoad",
+                        reportedLoad,
                         "viewAgeMillis",
                         viewAge(context.freshness()));
     }
 
+    private static double tenths(double value) {
+        return Math.round(value * TENTHS) / TENTHS;
+    }
+
     private static String routeKind(RoutedCall routed) {
         return routed == null ? "unrouted" : routed.route().kind().name().toLowerCase(java.util.Locale.ROOT);
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -93,14 +93,20 @@
         if (criteria.sharedPrefixKey().isEmpty()) {
             return candidates.stream()
                     .min(Comparator.comparingDouble(state -> cost(state, loads)))
-                    .map(state ->
-                            new PlacementDecision(state, PlacementDecision.Reason.LEAST_LOADED, Optional.empty()));
+                    .map(state -> new PlacementDecision(
+                            state,
+                            PlacementDecision.Reason.LEAST_LOADED,
+                            Optional.empty(),
+                            estimate(state, loads, nowMillis)));
         }
         UpstreamState chosen = chooseByPrompt(candidates, criteria, loads);
         UpstreamState preferred = firstInPromptOrder(service.stream().filter(UpstreamState::acceptsNewWork), criteria);
         Optional<UpstreamState> cacheSource = findCacheSource(service, chosen, criteria, nowMillis);
-        return Optional.of(
-                new PlacementDecision(chosen, reason(preferred, chosen, meanFailureRate, nowMillis), cacheSource));
+        return Optional.of(new PlacementDecision(
+                chosen,
+                reason(preferred, chosen, meanFailureRate, nowMillis),
+                cacheSource,
+                estimate(chosen, loads, nowMillis)));
     }
 
     @SafeVarargs
@@ -142,8 +148,17 @@
                 : PlacementDecision.Reason.SPILL_RATE;
     }
 
+    private double limit(LoadEstimates loads) {
+        return Math.max(1, USED_LOAD_FACTOR_SHARE * loadFactor) * loads.mean() + LOAD_SLACK;
+    }
+
+    private PlacementDecision.LoadEstimate estimate(UpstreamState chosen, LoadEstimates loads, long nowMillis) {
+        return new PlacementDecision.LoadEstimate(
+                loads.of(chosen), loads.mean(), limit(loads), chosen.reportAgeMillis(nowMillis));
+    }
+
     private UpstreamState chooseByPrompt(List<UpstreamState> candidates, Criteria criteria, LoadEstimates loads) {
-        double limit = Math.max(1, USED_LOAD_FACTOR_SHARE * loadFactor) * loads.mean() + LOAD_SLACK;
+        double limit = limit(loads);
         UpstreamState preferred =
                 firstInPromptOrder(candidates.stream().filter(state -> loads.of(state) <= limit), criteria);
         return preferred != null
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.internal.hash.Rendezvous;
 
@@ -111,6 +112,11 @@
         return reportedMillis == Long.MIN_VALUE ? 0 : Math.exp((reportedMillis - nowMillis) / REPORT_DECAY_MS);
     }
 
+    /** Returns the time since the last load report, empty if there has been none. */
+    OptionalLong reportAgeMillis(long nowMillis) {
+        return reportedMillis == Long.MIN_VALUE ? OptionalLong.empty() : OptionalLong.of(nowMillis - reportedMillis);
+    }
+
     /** Returns the number of other instances' requests at the last load report. */
     double otherLoadAtReport() {
         return otherLoadAtReport;
