Keep load notices from failing a request

An overlong id now yields no datagram, an address is checked octet by octet when it is decoded and dropped if it is unresolved, and the channel is opened on the traffic thread.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/LoadNoticeChannel.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/LoadNoticeChannel.java
@@ -22,7 +22,7 @@
 /**
  * Sends load notices to the other instances of the fleet and receives theirs, one in each datagram.
  *
- * <p>Used on the I/O thread, which it never blocks. Datagrams may be lost, late or doubled. Those that do not come from
+ * <p>Used on the I/O thread, which it never blocks, except {@link #close}, which is thread-safe. Datagrams may be lost, late or doubled. Those that do not come from
  * the address of a registered instance are dropped.
  */
 final class LoadNoticeChannel {
@@ -32,7 +32,7 @@
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(LoadNoticeCodec.MAX_BYTES + 1);
     private final SocketAddressBuffer sender = new SocketAddressBuffer();
     private Set<SocketAddress> peers = Set.of();
-    private MulticastMessageChannel channel;
+    private volatile MulticastMessageChannel channel;
     private boolean sendFailing;
 
     /**
@@ -59,16 +59,18 @@
 
     /** Replaces the addresses of the other instances. */
     void updatePeers(Stream<PeerAddress> addresses) {
-        peers = addresses.map(LoadNoticeChannel::socketAddress).collect(Collectors.toSet());
+        peers = addresses
+                .map(LoadNoticeChannel::socketAddress)
+                .filter(address -> !address.isUnresolved())
+                .collect(Collectors.toSet());
     }
 
     /** Sends a notice to all other instances. */
     void send(LoadNotice notice) {
-        if (channel == null || peers.isEmpty()) {
-            return;
+        if (channel != null) {
+            LoadNoticeCodec.encode(notice)
+                    .ifPresent(datagram -> peers.forEach(peer -> send(peer, datagram.duplicate())));
         }
-        ByteBuffer datagram = LoadNoticeCodec.encode(notice);
-        peers.forEach(peer -> send(peer, datagram.duplicate()));
     }
 
     private void send(SocketAddress peer, ByteBuffer datagram) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -126,7 +126,8 @@
     /** Starts listening. */
     public void start() {
         server.start();
-        settings.peers().ifPresent(address -> context.loadNotices().open(worker, address));
+        thread.execute(() ->
+                settings.peers().ifPresent(address -> context.loadNotices().open(worker, address)));
         thread.execute(this::sweepConnections);
     }
 
--- a/org.cuminspur/src/org/cuminspur/traffic/LoadNoticeCodec.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/LoadNoticeCodec.java
@@ -20,18 +20,18 @@
 
     private LoadNoticeCodec() {}
 
-    /** Returns the datagram of a notice; throws {@link IllegalArgumentException} if the upstream's id is too long. */
-    public static ByteBuffer encode(LoadNotice notice) {
+    /** Returns the datagram of a notice, empty if the upstream's id is too long for one. */
+    public static Optional<ByteBuffer> encode(LoadNotice notice) {
         byte[] id = notice.upstream().value().getBytes(StandardCharsets.UTF_8);
         if (HEADER_BYTES + id.length > MAX_BYTES) {
-            throw new IllegalArgumentException("upstream id too long for a load notice: " + id.length + " bytes");
+            return Optional.empty();
         }
-        return ByteBuffer.allocate(HEADER_BYTES + id.length)
+        return Optional.of(ByteBuffer.allocate(HEADER_BYTES + id.length)
                 .put(VERSION)
                 .putLong(notice.startedMillis())
                 .putShort((short) notice.load())
                 .put(id)
-                .flip();
+                .flip());
     }
 
     /** Returns the notice in a datagram, empty if it is malformed. */
--- a/org.cuminspur/src/org/cuminspur/traffic/PeerAddress.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PeerAddress.java
@@ -12,7 +12,10 @@
  */
 public record PeerAddress(String host, int port) {
     private static final int MAX_PORT = 65_535;
-    private static final Pattern FORMAT = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:]+]):([0-9]{1,5})");
+    private static final String OCTET = "(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])";
+    private static final String IPV4 = OCTET + "(?:\\." + OCTET + "){3}";
+    private static final String IPV6 = "\\[[0-9a-fA-F:]{2,39}]";
+    private static final Pattern FORMAT = Pattern.compile("(" + IPV4 + "|" + IPV6 + "):([0-9]{1,5})");
 
     /** Returns the address in a text such as {@code 10.0.0.1:7355}, empty if it is malformed. */
     public static Optional<PeerAddress> parse(String text) {
