--- a/org.cuminspur.test/tst/org/cuminspur/placement/BoundedLoadFleetTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/placement/BoundedLoadFleetTest.java
@@ -71,14 +71,12 @@
         assertTrue(simulation.worstLoadRatio() <= SkewedLoadSimulation.BOUND, "worst " + simulation.worstLoadRatio());
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void boundHoldsWhileUpstreamsLeaveAtLongReportLag() {
         boundHoldsWhileUpstreamsLeave(2, 6, 2_000, 0);
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void boundHoldsWhileAnUpstreamJoins() {
         SkewedLoadSimulation simulation =
                 new SkewedLoadSimulation(3, 6, 500, 0.2, ColdStartSimulation::boundedPlacement);
