--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetLoadBoundTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetLoadBoundTest.java
@@ -36,11 +36,14 @@
     private static final int REPLACED = 6;
     private static final long START_BEFORE_DRAIN_MS = 1_000;
     private static final long NEXT_AFTER_DRAIN_MS = 500;
+    private static final long DRAIN_SETTLE_MS = 4_000;
+    private static final long DRAINED_MS = 12_000;
     private static final int SEEDS = 6;
 
     @DataProvider
     Object[][] deployments() {
         return Stream.of(VLIELAND_GROWN, FONDO_GROWN)
+                .flatMap(deployment -> Stream.of(deployment, deployment.withFreshReports()))
                 .flatMap(deployment ->
                         LongStream.rangeClosed(1, SEEDS).mapToObj(seed -> new Object[] {deployment, seed}))
                 .toArray(Object[][]::new);
@@ -63,6 +66,25 @@
             simulation.drainOldest();
             simulation.advance(NEXT_AFTER_DRAIN_MS);
         }
+        assertBoundHeld(simulation);
+    }
+
+    /** Upstreams that get no new work hold little, so the mean is below that of the others. */
+    @Test(dataProvider = "deployments", groups = "known-red")
+    public void ownersStayWithinTheLoadBoundWhileADomainIsDrained(
+            PromptFleetSimulation.Deployment deployment, long seed) {
+        PromptFleetSimulation simulation = new PromptFleetSimulation(deployment, seed);
+        simulation.advance(SETTLE_MS);
+        simulation.drainDomain();
+        simulation.advance(DRAIN_SETTLE_MS);
+        simulation.checker().reset();
+        simulation.advance(DRAINED_MS);
+        simulation.restoreDomain();
+        simulation.advance(DRAINED_MS);
+        assertBoundHeld(simulation);
+    }
+
+    private static void assertBoundHeld(PromptFleetSimulation simulation) {
         assertTrue(
                 simulation.checker().worstShare() <= LoadBoundChecker.MAX_SHARE_OVER,
                 "worst share " + simulation.checker().worstShare() + ", on owner " + simulation.ownerShare());
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptFleetSimulation.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptFleetSimulation.java
@@ -59,6 +59,11 @@
             double requestsPerSecond,
             long reportAgeMillis,
             List<Kind> kinds) {
+        /** Returns this deployment with responses that report the load at their start. */
+        Deployment withFreshReports() {
+            return new Deployment(name + "-fresh", instances, upstreams, requestsPerSecond, 0, kinds);
+        }
+
         @Override
         public String toString() {
             return name;
@@ -86,6 +91,7 @@
     private final Map<UpstreamId, UpstreamEntry> entries = new TreeMap<>();
     private final Map<UpstreamId, SimulatedLoad> loads = new TreeMap<>();
     private PromptTable table = PromptTable.EMPTY;
+    private Set<FailureDomainId> drainedDomains = Set.of();
     private int upstreamsStarted;
     private long placed;
     private long placedOnOwner;
@@ -144,6 +150,18 @@
         });
     }
 
+    /** Takes a third of the upstreams, a failure domain, out of service. */
+    void drainDomain() {
+        drainedDomains = Set.of(TrafficFixtures.TORINO);
+        publish();
+    }
+
+    /** Brings the failure domain back into service; its upstreams are then cold. */
+    void restoreDomain() {
+        drainedDomains = Set.of();
+        publish();
+    }
+
     private UpstreamEntry startUpstream(long remainingWarmupMillis) {
         int number = upstreamsStarted++;
         UpstreamEntry entry = TrafficFixtures.upstream(
@@ -155,13 +173,21 @@
 
     private Set<UpstreamId> inService() {
         return entries.values().stream()
-                .filter(entry -> !entry.draining())
+                .filter(entry -> !entry.draining() && !drainedDomains.contains(entry.domain()))
                 .map(UpstreamEntry::id)
                 .collect(Collectors.toSet());
     }
 
     private FleetView view() {
-        return TrafficFixtures.view(deployment.instances(), entries.values().toArray(UpstreamEntry[]::new));
+        FleetView serving =
+                TrafficFixtures.view(deployment.instances(), entries.values().toArray(UpstreamEntry[]::new));
+        return new FleetView(
+                serving.routes(),
+                serving.upstreams(),
+                drainedDomains,
+                serving.instances(),
+                Map.of(),
+                Map.of(TrafficFixtures.MODEL, table));
     }
 
     /** Tells the instances of the fleet's upstreams, each after a delay of its own. */
