Log and count how upstreams' and callers' responses end

The line 'ended' said 'served' for a complete answer and for one whose connection merely ended, so three hypotheses could not be told apart: the end of the connection taken for the end of the answer, a reset read as an end, or an abort that the caller cannot see.

'ended' and 'attempt-failed' now state how the end of the body was marked, how it ended and whether it ended inside an event, for the upstream's and the caller's side; a counter for each pair of framing and end (at most 20 names a side) is exported on both paths. No decision depends on it.

--- a/org.cuminspur.http/src/org/cuminspur/http/client/HttpResponseStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/HttpResponseStream.java
@@ -14,6 +14,9 @@
     /** Returns the HTTP status. */
     int status();
 
+    /** Returns how the end of the body is marked. */
+    BodyFraming framing();
+
     /** Returns the headers in the order received. */
     List<HttpHeader> headers();
 
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.stream.StreamSupport;
+import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.ClientConnections;
 import org.cuminspur.http.client.HttpCall;
@@ -39,8 +40,11 @@
     private final BodyQueue body;
     private final CompletableFuture<ClientResponse> response = new CompletableFuture<>();
 
+    /** Written before the response is completed. */
+    private BodyFraming framing = BodyFraming.NONE;
+
     /** The three fields below are used on the I/O thread only. */
-    private boolean headRequest;
+    private HttpString method;
 
     private boolean requestWritten;
     private boolean released;
@@ -75,6 +79,12 @@
         return response.join().getResponseCode();
     }
 
+    @Override
+    public BodyFraming framing() {
+        response.join();
+        return framing;
+    }
+
     @Override
     public List<HttpHeader> headers() {
         return StreamSupport.stream(response.join().getResponseHeaders().spliterator(), false)
@@ -128,10 +138,8 @@
     }
 
     private void send(HttpCall call) {
-        headRequest = call.method().equals("HEAD");
-        ClientRequest request = new ClientRequest()
-                .setMethod(HttpString.tryFromString(call.method()))
-                .setPath(call.path());
+        method = HttpString.tryFromString(call.method());
+        ClientRequest request = new ClientRequest().setMethod(method).setPath(call.path());
         request.getRequestHeaders().put(Headers.HOST, call.host() + ":" + call.port());
         call.headers()
                 .forEach(header ->
@@ -170,6 +178,7 @@
 
     private void onResponse(ClientExchange exchange) {
         ClientResponse answer = exchange.getResponse();
+        framing = BodyFraming.of(method, answer.getResponseCode(), answer.getResponseHeaders());
         response.complete(answer);
         if (WITHOUT_BODY.contains(answer.getResponseCode())) {
             // A length in such a response is not that of a body, so the connection's state cannot be trusted.
@@ -181,7 +190,7 @@
     }
 
     private boolean endIsMarked(ClientResponse answer) {
-        return headRequest
+        return framing == BodyFraming.NONE
                 || answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
                 || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
@@ -1,8 +1,11 @@
 package org.cuminspur.router.internal.caller;
 
+import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.cuminspur.http.client.BodyEnd;
+import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpResponseStream;
@@ -21,6 +24,7 @@
     private final CallerAnswer answer;
     private final Clock clock;
     private final Cancellation cancellation;
+    private final MetricRegistry metrics;
     private EventSplitter events = new EventSplitter();
     private BoundedBodyBuffer storedBody = new BoundedBodyBuffer();
     private HttpResponseStream stream;
@@ -34,11 +38,13 @@
      *
      * @param cancellation cancelled when the answer is no longer needed
      */
-    AnswerRelay(RoutedRequest routed, CallerAnswer answer, Clock clock, Cancellation cancellation) {
+    AnswerRelay(
+            RoutedRequest routed, CallerAnswer answer, Clock clock, Cancellation cancellation, MetricRegistry metrics) {
         this.routed = routed;
         this.answer = answer;
         this.clock = clock;
         this.cancellation = cancellation;
+        this.metrics = metrics;
     }
 
     /** Relays an answer until it ends and returns how it ended. */
@@ -68,6 +74,11 @@
         events.expectContinuation();
     }
 
+    /** Returns whether the whole answer was relayed. */
+    boolean complete() {
+        return complete;
+    }
+
     /** Returns the answer for the idempotency ledger, if it is complete and can be stored. */
     Optional<StoredAnswer> storableAnswer() {
         if (!complete) {
@@ -81,8 +92,10 @@
         while (true) {
             Either<CallFault, byte[]> piece = stream.next(Math.max(1, routed.deadlineMillis() - clock.millis()));
             if (piece.isLeft()) {
+                countEnd(piece.getLeft() == CallFault.BROKEN ? BodyEnd.BROKEN : BodyEnd.ABORTED);
                 return onEnd(piece.getLeft());
             } else if (piece.get().length == 0) {
+                countEnd(stream.framing() == BodyFraming.CONNECTION_END ? BodyEnd.CONNECTION_END : BodyEnd.COMPLETE);
                 return onEnd();
             }
             boolean callerPresent = write(eventStream ? events.feed(piece.get()) : piece.get());
@@ -94,6 +107,10 @@
         }
     }
 
+    private void countEnd(BodyEnd end) {
+        metrics.counter(ResponseEndCounters.upstream(stream.framing(), end)).inc();
+    }
+
     /** Writes to the caller; returns false once the request is cancelled. */
     private boolean write(byte[] piece) {
         if (!routed.route().idempotent()) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.BodyEnd;
+import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.once.StoredAnswer;
@@ -114,6 +116,7 @@
         }
         useChunkedEncoding();
         send(stored.body());
+        countEnd(BodyEnd.COMPLETE);
     }
 
     /** Answers with a refusal, or marks the answer as incomplete if it has started. */
@@ -124,13 +127,23 @@
             RefusalResponse.setHead(exchange, refusal);
             useChunkedEncoding();
             send(RefusalResponse.bodyJson(refusal));
+            countEnd(BodyEnd.COMPLETE);
         } else if (eventStream) {
             send("event: error\ndata: " + RefusalResponse.bodyJson(refusal) + "\n\n");
+            countEnd(BodyEnd.ABORTED);
         } else {
+            countEnd(BodyEnd.ABORTED);
             IoUtils.safeClose(exchange.getConnection());
         }
     }
 
+    /** Counts how this answer ended; called once, when the answer is written or given up. */
+    void countEnd(BodyEnd end) {
+        BodyFraming framing =
+                BodyFraming.of(exchange.getRequestMethod(), exchange.getStatusCode(), exchange.getResponseHeaders());
+        metrics.counter(ResponseEndCounters.caller(framing, end)).inc();
+    }
+
     /** Chunked encoding marks the end of the body even where the connection closes after the answer. */
     private void useChunkedEncoding() {
         boolean bodyless = exchange.getRequestMethod().equals(Methods.HEAD)
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventStreams.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventStreams.java
@@ -4,14 +4,18 @@
 import org.cuminspur.http.client.HttpHeader;
 
 /** Recognises answers that are streams of server-sent events; stateless and thread-safe. */
-final class EventStreams {
+public final class EventStreams {
     private static final String MEDIA_TYPE = "text/event-stream";
 
     private EventStreams() {}
 
     static boolean isEventStream(List<HttpHeader> headers) {
         return headers.stream()
-                .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type")
-                        && header.value().startsWith(MEDIA_TYPE));
+                .anyMatch(header -> header.name().equalsIgnoreCase("Content-Type") && isEventStream(header.value()));
+    }
+
+    /** Returns whether the value of a Content-Type header names an event stream. */
+    public static boolean isEventStream(String contentType) {
+        return contentType.startsWith(MEDIA_TYPE);
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestExecution.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/RequestExecution.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.OptionalLong;
+import org.cuminspur.http.client.BodyEnd;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.once.IdempotencyLedger.Outcome;
 import org.cuminspur.retry.AttemptEvent;
@@ -85,6 +86,7 @@
             answer.refuse(abort.refusal());
             return new Outcome.Unknown();
         }
+        answer.countEnd(relay.complete() ? BodyEnd.COMPLETE : BodyEnd.BROKEN);
         return relay.storableAnswer().<Outcome>map(Outcome.Answered::new).orElseGet(Outcome.Unknown::new);
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamCaller.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/UpstreamCaller.java
@@ -47,7 +47,7 @@
         RetryConstraints constraints = new RetryConstraints(routed.route().idempotent(), routed.deadlineMillis());
         AttemptStateMachine attempts = new AttemptStateMachine(
                 constraints, budgets.forAccount(routed.account().id()), clock);
-        AnswerRelay relay = new AnswerRelay(routed, answer, clock, cancellation);
+        AnswerRelay relay = new AnswerRelay(routed, answer, clock, cancellation, metrics);
         UpstreamAttempt attempt = new UpstreamAttempt(http, clock, metrics, snapshots, routed, cancellation);
         return new RequestExecution(attempts, attempt, relay, answer, cancellation, metrics).run();
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
+import org.cuminspur.router.internal.caller.EventBoundaryTracker;
 import org.cuminspur.router.internal.caller.EventSplitter;
 
 /**
@@ -12,11 +13,13 @@
  */
 final class BodyRelay {
     private EventSplitter splitter;
+    private EventBoundaryTracker boundary;
     private boolean begun;
 
     /** Begins the response. */
-    void begin(boolean resumable) {
+    void begin(boolean eventStream, boolean resumable) {
         begun = true;
+        boundary = eventStream ? new EventBoundaryTracker() : null;
         splitter = resumable ? new EventSplitter() : null;
     }
 
@@ -28,10 +31,14 @@
     /** Expects the next bytes to continue the stream after the last relayed event. */
     void resumed() {
         splitter.expectContinuation();
+        boundary = new EventBoundaryTracker();
     }
 
     /** Takes received bytes and returns those to relay. */
     ByteBuffer take(ByteBuffer bytes) {
+        if (boundary != null) {
+            boundary.add(bytes);
+        }
         if (splitter == null) {
             return bytes;
         }
@@ -45,6 +52,11 @@
         return ByteBuffer.wrap(splitter == null ? new byte[0] : splitter.incompleteEvent());
     }
 
+    /** Returns whether the bytes received so far end inside an event of a stream. */
+    boolean insideEvent() {
+        return boundary != null && boundary.insideEvent();
+    }
+
     /** Returns whether the resumed stream has a gap, so that it cannot be relayed. */
     boolean hasGap() {
         return splitter != null && splitter.failed();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -12,14 +12,18 @@
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
+import org.cuminspur.http.client.BodyEnd;
+import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.retry.AttemptEvent;
 import org.cuminspur.retry.AttemptStateMachine;
 import org.cuminspur.retry.NextStep;
 import org.cuminspur.retry.RetryConstraints;
 import org.cuminspur.router.internal.caller.ClientDisconnectMonitor;
+import org.cuminspur.router.internal.caller.EventStreams;
 import org.cuminspur.traffic.FleetRetryBudget;
 import org.cuminspur.traffic.PlacementDecision;
+import org.cuminspur.traffic.RequestKind;
 import org.cuminspur.traffic.RequestMetadata;
 import org.cuminspur.traffic.ResponseMetadata;
 import org.cuminspur.traffic.UpstreamState;
@@ -236,13 +240,21 @@
         }
         status = responseStatus;
         firstByteMillis = now() - arrivedMillis;
-        boolean resumable = routed.route().resumable() && responseStatus < REDIRECTION;
-        relay.begin(resumable);
+        boolean eventStream = responseStatus < REDIRECTION && isEventStream(headers);
+        relay.begin(eventStream, routed.route().resumable() && responseStatus < REDIRECTION);
         HeaderMap relayed = UpstreamRequests.responseHeaders(headers, context.headerCodec());
         closeIfUnready(relayed);
         writer.begin(responseStatus, relayed);
     }
 
+    /** Returns whether a response is a stream of events: by its type or, if it states none, by its route. */
+    private boolean isEventStream(HeaderMap headers) {
+        String contentType = headers.getFirst(Headers.CONTENT_TYPE);
+        return contentType == null
+                ? routed.route().kind() == RequestKind.STREAM
+                : EventStreams.isEventStream(contentType);
+    }
+
     @Override
     public void bodyReceived(UpstreamExchange from, ByteBuffer bytes) {
         writer.write(relay.take(bytes));
@@ -258,7 +270,7 @@
         detach(from);
         writer.write(relay.remainder());
         attempts.handle(new AttemptEvent.AnswerCompleted());
-        finish(status >= SERVER_ERROR ? "upstream-failed" : "served");
+        finish(status >= SERVER_ERROR ? "upstream-failed" : "served", writer.framing(), BodyEnd.COMPLETE);
         writer.end();
     }
 
@@ -287,7 +299,7 @@
     public void disconnected() {
         if (!finished) {
             cancelUpstreamExchange();
-            finish("caller-gone");
+            finish("caller-gone", callerFraming(), BodyEnd.BROKEN);
             writer.abort();
         }
     }
@@ -311,12 +323,12 @@
         context.headerCodec().encodeRefusal(headers, call, refusal);
         closeIfUnready(headers);
         status = context.headerCodec().status(refusal.kind());
-        finish(refusal.kind().label());
+        finish(refusal.kind().label(), BodyFraming.LENGTH, BodyEnd.COMPLETE);
         writer.send(status, headers, refusal.kind().message().getBytes(StandardCharsets.US_ASCII));
     }
 
     private void abortResponse(String cause) {
-        finish("cut-" + cause);
+        finish("cut-" + cause, writer.framing(), BodyEnd.ABORTED);
         writer.abort();
     }
 
@@ -328,6 +340,10 @@
         }
     }
 
+    private BodyFraming callerFraming() {
+        return relay.begun() ? writer.framing() : BodyFraming.NONE;
+    }
+
     private void attemptFailed(UpstreamExchange from, String how, int responseStatus, AttemptEvent event) {
         log.attemptFailed(from, how, responseStatus, now() - sentMillis);
         perform(attempts.handle(event));
@@ -349,15 +365,17 @@
     private void detach(UpstreamExchange from) {
         upstreamExchange = null;
         from.upstream().recordEnded(from);
+        log.upstreamResponseEnded(from, relay.insideEvent());
     }
 
-    private void finish(String outcome) {
+    private void finish(String outcome, BodyFraming framing, BodyEnd end) {
         finished = true;
         disconnectMonitor.stop();
         if (timer != null) {
             timer.remove();
         }
         context.stop().requestEnded();
+        log.callerResponseEnded(framing, end);
         log.ended(routed, outcome, status, tried.size(), firstByteMillis, now() - arrivedMillis);
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
@@ -3,6 +3,9 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.cuminspur.http.client.BodyEnd;
+import org.cuminspur.http.client.BodyFraming;
+import org.cuminspur.router.internal.caller.ResponseEndCounters;
 import org.cuminspur.traffic.PlacementDecision;
 import org.cuminspur.traffic.RequestMetadata;
 import org.cuminspur.traffic.ResponseMetadata;
@@ -19,6 +22,11 @@
     private final TrafficContext context;
     private final RequestMetadata call;
     private long reportedLoad = -1;
+    private BodyFraming upstreamFraming = BodyFraming.NONE;
+    private BodyEnd upstreamEnd = BodyEnd.NONE;
+    private boolean insideEvent;
+    private BodyFraming callerFraming = BodyFraming.NONE;
+    private BodyEnd callerEnd = BodyEnd.NONE;
 
     RequestLog(TrafficContext context, RequestMetadata call) {
         this.context = context;
@@ -89,6 +97,32 @@
         reportedLoad = (long) load.running() + load.waiting();
     }
 
+    /**
+     * Counts how an upstream's response ended and notes it for the line on the end of the request.
+     *
+     * @param endsInsideEvent whether the body is a stream whose last event is incomplete
+     */
+    void upstreamResponseEnded(UpstreamExchange exchange, boolean endsInsideEvent) {
+        upstreamFraming = exchange.framing();
+        upstreamEnd = exchange.end();
+        insideEvent = endsInsideEvent;
+        if (upstreamEnd != BodyEnd.NONE) {
+            context.metrics()
+                    .counter(ResponseEndCounters.upstream(upstreamFraming, upstreamEnd))
+                    .inc();
+        }
+        if (insideEvent) {
+            context.metrics().counter("responses.upstream.inside-event").inc();
+        }
+    }
+
+    /** Counts how the caller's response ended and notes it for the line on the end of the request. */
+    void callerResponseEnded(BodyFraming framing, BodyEnd end) {
+        callerFraming = framing;
+        callerEnd = end;
+        context.metrics().counter(ResponseEndCounters.caller(framing, end)).inc();
+    }
+
     void attemptFailed(UpstreamExchange exchange, String how, int status, long afterMillis) {
         context.metrics().counter("attempts.failed." + how).inc();
         context.events()
@@ -106,6 +140,12 @@
                         exchange.reused(),
                         "cause",
                         exchange.cause(),
+                        "framing",
+                        ResponseEndCounters.label(exchange.framing()),
+                        "end",
+                        ResponseEndCounters.label(exchange.end()),
+                        "insideEvent",
+                        insideEvent,
                         "afterMillis",
                         afterMillis);
     }
@@ -150,6 +190,16 @@
                         millis,
                         "reportedLoad",
                         reportedLoad,
+                        "upstreamFraming",
+                        ResponseEndCounters.label(upstreamFraming),
+                        "upstreamEnd",
+                        ResponseEndCounters.label(upstreamEnd),
+                        "insideEvent",
+                        insideEvent,
+                        "callerFraming",
+                        ResponseEndCounters.label(callerFraming),
+                        "callerEnd",
+                        ResponseEndCounters.label(callerEnd),
                         "viewAgeMillis",
                         viewAge(context.freshness()));
     }
@@ -159,7 +209,9 @@
     }
 
     private static String routeKind(RoutedCall routed) {
-        return routed == null ? "unrouted" : routed.route().kind().name().toLowerCase(java.util.Locale.ROOT);
+        return routed == null
+                ? "unrouted"
+                : ResponseEndCounters.label(routed.route().kind());
     }
 
     private static long viewAge(ViewFreshness freshness) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ResponseWriter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ResponseWriter.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.cuminspur.http.client.BodyFraming;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -69,6 +70,11 @@
                 && status != StatusCodes.NOT_MODIFIED;
     }
 
+    /** Returns the framing of the response's body, as the caller sees it. */
+    BodyFraming framing() {
+        return BodyFraming.of(exchange.getRequestMethod(), exchange.getStatusCode(), exchange.getResponseHeaders());
+    }
+
     /** Sends a whole response. */
     void send(int status, HeaderMap headers, byte[] body) {
         headers.put(Headers.CONTENT_LENGTH, body.length);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -9,6 +9,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ClosedChannelException;
+import org.cuminspur.http.client.BodyEnd;
+import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.ClientConnections;
 import org.cuminspur.traffic.UpstreamState;
 import org.xnio.IoUtils;
@@ -62,6 +64,8 @@
     private boolean finished;
     private boolean discarding;
     private String cause = "";
+    private BodyFraming framing = BodyFraming.NONE;
+    private BodyEnd end = BodyEnd.NONE;
 
     /**
      * Creates an exchange without starting it.
@@ -89,6 +93,16 @@
         return cause;
     }
 
+    /** Returns the framing of the response's body, {@link BodyFraming#NONE} before the response began. */
+    BodyFraming framing() {
+        return framing;
+    }
+
+    /** Returns how the response ended, {@link BodyEnd#NONE} if it has not. */
+    BodyEnd end() {
+        return end;
+    }
+
     /** Sends the request. */
     void start(ClientRequest newRequest, byte[] newBody) {
         request = newRequest;
@@ -122,6 +136,7 @@
     void cancel() {
         if (!finished) {
             finished = true;
+            end = source == null ? BodyEnd.NONE : BodyEnd.ABORTED;
             abort();
         }
     }
@@ -129,6 +144,7 @@
     /** Reads the rest of the response without passing it on, so that the connection can be reused. */
     void discard() {
         discarding = true;
+        end = BodyEnd.ABORTED;
     }
 
     /** Pauses or resumes reading the response. */
@@ -209,6 +225,7 @@
         // After a response that came before the whole request was read, the client library may close its half.
         boolean wasRead = requestWritten && body.length <= MAX_SINGLE_PIECE_BYTES;
         keepAliveMillis = wasRead ? keepAliveMillis(response.getResponseHeaders()) : 0;
+        framing = BodyFraming.of(request.getMethod(), response.getResponseCode(), response.getResponseHeaders());
         source = exchange.getResponseChannel();
         listener.responseStarted(this, response.getResponseCode(), response.getResponseHeaders());
         if (finished) {
@@ -246,6 +263,7 @@
 
     private void finish() {
         finished = true;
+        end = framing == BodyFraming.CONNECTION_END ? BodyEnd.CONNECTION_END : BodyEnd.COMPLETE;
         connection.getCloseSetter().set(null);
         if (keepAliveMillis > 0) {
             // One event-loop turn later, bytes that follow the response have closed the connection.
@@ -274,6 +292,7 @@
         if (!finished) {
             finished = true;
             cause = error.toString();
+            end = source == null ? BodyEnd.NONE : BodyEnd.BROKEN;
             abort();
             if (!discarding) {
                 listener.connectionBroken(this);
