Show that streams cut inside an event reach callers as complete

What they say of the hypotheses: a connection that ends in order inside an event was taken for a complete answer (true, the incident); a reset is recognised for every framing (refuted); an aborted answer looks complete to a caller with HTTP/1.0 only (true, not the incident: its callers use HTTP/1.1).

--- a/org.cuminspur.router.test/tst/org/cuminspur/router/RouterFleetFixture.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/RouterFleetFixture.java
@@ -30,7 +30,7 @@
         return fleet;
     }
 
-    /** Starts a router that routes {@code /v1} to engines, {@code /stock} and {@code /lots} to plain services. */
+    /** Starts a router that routes {@code /v1} to engines, {@code /stock}, {@code /lots} and {@code /orders} to plain services. */
     void start(String... settings) {
         router = fleet.startRouter("router-1", "noord-a", settings);
         String path = fleet.writeServiceFile(
@@ -56,6 +56,10 @@
                                 "service = stock",
                                 "path = /lots",
                                 "deadline = 1s",
+                                "[route orders]",
+                                "service = stock",
+                                "path = /orders",
+                                "idempotent = no",
                                 "[domain noord-a]",
                                 "region = nl-noord",
                                 "[account buyer-desk]",
--- a/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
@@ -96,8 +96,8 @@
     private void serve(Socket socket, int number) {
         try (socket) {
             socket.setSoTimeout(SOCKET_TIMEOUT_MS);
-            script.run(
-                    new Connection(number, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream()));
+            script.run(new Connection(
+                    number, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream(), socket));
         } catch (IOException e) {
             recordEvent("failed");
         }
@@ -110,7 +110,7 @@
     }
 
     /** The upstream's side of one connection. */
-    public record Connection(int number, InputStream in, OutputStream out) {
+    public record Connection(int number, InputStream in, OutputStream out, Socket socket) {
         /** Reads and returns a request's head; empty at the end of the connection. */
         public String readHead() throws IOException {
             StringBuilder head = new StringBuilder();
@@ -144,6 +144,12 @@
                     .collect(Collectors.joining()));
         }
 
+        /** Resets the connection instead of ending it in order. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         /** Reads until the peer closes the connection. */
         public void awaitClose() throws IOException {
             while (in.read() >= 0) {
