Treat a stream that ends inside an event as broken off

Cause: how a body ends was judged by its framing alone. Where the connection is the framing, a crash looks like the end, and the rest of the event that the upstream was writing was passed on with the last chunk. The own interface did the same at a marked end, and took a plain service's [DONE] for the end of an answer that was broken later; both were stored for repeats of the action.

Change: one class, EventBoundaryTracker, decides on both paths from the kind of end and the place in the stream. Inside an event the stream is broken off whatever the framing says, and is resumed or cut. A stream without framing and without any event is broken off too.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vavr.control.Either;
+import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminspur.http.client.BodyEnd;
@@ -17,7 +18,8 @@
  * Relays an upstream's answer to the caller, over several upstream streams if it is resumed.
  *
  * <p>Used by one worker thread. Event streams are relayed in whole events only. An engine's event stream is complete
- * after its end marker, any other answer when its HTTP framing ends.
+ * after its end marker, any other stream when its HTTP framing ends outside an event, any other answer when its
+ * HTTP framing ends.
  */
 final class AnswerRelay {
     private final RoutedRequest routed;
@@ -26,6 +28,7 @@
     private final Cancellation cancellation;
     private final MetricRegistry metrics;
     private EventSplitter events = new EventSplitter();
+    private EventBoundaryTracker boundary = new EventBoundaryTracker();
     private BoundedBodyBuffer storedBody = new BoundedBodyBuffer();
     private HttpResponseStream stream;
     private boolean engine;
@@ -53,6 +56,7 @@
         engine = fromEngine;
         if (!continuing) {
             events = new EventSplitter();
+            boundary = new EventBoundaryTracker();
             storedBody = new BoundedBodyBuffer();
             eventStream = EventStreams.isEventStream(source.headers());
             answer.begin(source.status(), EndToEndHeaders.forwarded(source.headers()));
@@ -71,6 +75,7 @@
     /** Expects the next stream to continue this answer. */
     void expectContinuation() {
         continuing = true;
+        boundary = new EventBoundaryTracker();
         events.expectContinuation();
     }
 
@@ -95,9 +100,9 @@
                 countEnd(piece.getLeft() == CallFault.BROKEN ? BodyEnd.BROKEN : BodyEnd.ABORTED);
                 return onEnd(piece.getLeft());
             } else if (piece.get().length == 0) {
-                countEnd(stream.framing() == BodyFraming.CONNECTION_END ? BodyEnd.CONNECTION_END : BodyEnd.COMPLETE);
-                return onEnd();
+                return onBodyEnd();
             }
+            boundary.add(ByteBuffer.wrap(piece.get()));
             boolean callerPresent = write(eventStream ? events.feed(piece.get()) : piece.get());
             if (!callerPresent) {
                 return new AttemptEvent.CallerGone();
@@ -122,11 +127,15 @@
         return !cancellation.cancelled();
     }
 
-    private AttemptEvent onEnd() {
+    private AttemptEvent onBodyEnd() {
+        BodyEnd end = stream.framing() == BodyFraming.CONNECTION_END ? BodyEnd.CONNECTION_END : BodyEnd.COMPLETE;
+        countEnd(end);
         if (!eventStream) {
             return new AttemptEvent.AnswerCompleted();
         } else if (engine) {
             return events.endMarkerSeen() ? new AttemptEvent.AnswerCompleted() : brokenAnswer();
+        } else if (!boundary.isComplete(end)) {
+            return brokenAnswer();
         }
         return write(events.incompleteEvent()) ? new AttemptEvent.AnswerCompleted() : new AttemptEvent.CallerGone();
     }
@@ -134,7 +143,7 @@
     private AttemptEvent onEnd(CallFault fault) {
         if (cancellation.cancelled()) {
             return new AttemptEvent.CallerGone();
-        } else if (eventStream && events.endMarkerSeen()) {
+        } else if (eventStream && engine && events.endMarkerSeen()) {
             return new AttemptEvent.AnswerCompleted();
         } else if (fault == CallFault.TIMED_OUT) {
             return answer.started() ? new AttemptEvent.TimedOutDuringAnswer() : new AttemptEvent.TimedOutBeforeAnswer();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventBoundaryTracker.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventBoundaryTracker.java
@@ -1,14 +1,16 @@
 package org.cuminspur.router.internal.caller;
 
 import java.nio.ByteBuffer;
+import org.cuminspur.http.client.BodyEnd;
 
 /**
- * Tracks whether the bytes of an event stream end inside an event.
+ * Tracks whether the bytes of an event stream end inside an event, and so whether the stream is complete.
  *
  * <p>Used by one thread. An event ends with an empty line; a line ends with CR, LF or both.
  */
 public final class EventBoundaryTracker {
     private boolean insideEvent;
+    private boolean eventSeen;
     private boolean lineEmpty = true;
     private boolean afterCarriageReturn;
 
@@ -24,6 +26,19 @@
         return insideEvent;
     }
 
+    /**
+     * Returns whether a stream that ends now is complete.
+     *
+     * <p>If the end of the connection is the only mark, a stream without any event counts as cut off.
+     */
+    public boolean isComplete(BodyEnd end) {
+        return switch (end) {
+            case COMPLETE -> !insideEvent;
+            case CONNECTION_END -> !insideEvent && eventSeen;
+            case NONE, BROKEN, ABORTED -> false;
+        };
+    }
+
     private void add(byte next) {
         boolean secondOfLineEnd = next == '\n' && afterCarriageReturn;
         afterCarriageReturn = next == '\r';
@@ -31,6 +46,7 @@
             return;
         }
         if (next == '\n' || next == '\r') {
+            eventSeen |= insideEvent && lineEmpty;
             insideEvent &= !lineEmpty;
             lineEmpty = true;
         } else {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.OptionalLong;
+import org.cuminspur.http.client.BodyEnd;
 import org.cuminspur.router.internal.caller.EventBoundaryTracker;
 import org.cuminspur.router.internal.caller.EventSplitter;
 
@@ -57,6 +58,11 @@
         return boundary != null && boundary.insideEvent();
     }
 
+    /** Returns whether a response whose body ends in this way is complete. */
+    boolean isComplete(BodyEnd end) {
+        return boundary == null || boundary.isComplete(end);
+    }
+
     /** Returns whether the resumed stream has a gap, so that it cannot be relayed. */
     boolean hasGap() {
         return splitter != null && splitter.failed();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -266,7 +266,11 @@
     }
 
     @Override
-    public void completed(UpstreamExchange from) {
+    public void bodyEnded(UpstreamExchange from) {
+        if (!relay.isComplete(from.end())) {
+            responseBroken(from, "truncated");
+            return;
+        }
         detach(from);
         writer.write(relay.remainder());
         attempts.handle(new AttemptEvent.AnswerCompleted());
@@ -276,9 +280,13 @@
 
     @Override
     public void connectionBroken(UpstreamExchange from) {
+        responseBroken(from, "broken");
+    }
+
+    private void responseBroken(UpstreamExchange from, String how) {
         detach(from);
-        recordFailure(from, "broken");
-        attemptFailed(from, "broken", status, brokenEvent());
+        recordFailure(from, how);
+        attemptFailed(from, how, status, brokenEvent());
     }
 
     /** Returns the event for a response that broke off, or that never began. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -20,7 +20,7 @@
 /**
  * Sends one request to one upstream and passes its response to a listener.
  *
- * <p>Used on one I/O thread. Exactly one of {@code notConnected}, {@code completed} and {@code connectionBroken} is called, unless the
+ * <p>Used on one I/O thread. Exactly one of {@code notConnected}, {@code bodyEnded} and {@code connectionBroken} is called, unless the
  * exchange is cancelled or discarded. A connection is reused only after a complete request and response with no bytes
  * following.
  */
@@ -43,8 +43,8 @@
         /** A part of the body arrived; the buffer is valid during the call only. */
         void bodyReceived(UpstreamExchange exchange, ByteBuffer bytes);
 
-        /** The response is complete. */
-        void completed(UpstreamExchange exchange);
+        /** The body ended as its framing says; {@link #end} tells whether only its connection marked the end. */
+        void bodyEnded(UpstreamExchange exchange);
 
         /** The connection broke before the response was complete. */
         void connectionBroken(UpstreamExchange exchange);
@@ -272,7 +272,7 @@
             abort();
         }
         if (!discarding) {
-            listener.completed(this);
+            listener.bodyEnded(this);
         }
     }
 
