Send event streams to callers without the length stated by the server

A stream with a Content-Length that broke off could not be resumed: the caller got a cut although another server went on (seen by ResponseEndTest, not by the users).

Change: the router marks the end of event streams by chunks, which it ends itself. Streams are told by their type, whatever its case, or by their route if the server states no type; a resumable route's answer of another type is relayed as it is.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventStreams.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventStreams.java
@@ -16,6 +16,6 @@
 
     /** Returns whether the value of a Content-Type header names an event stream. */
     public static boolean isEventStream(String contentType) {
-        return contentType.startsWith(MEDIA_TYPE);
+        return contentType.regionMatches(true, 0, MEDIA_TYPE, 0, MEDIA_TYPE.length());
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -20,10 +20,8 @@
 import org.cuminspur.retry.NextStep;
 import org.cuminspur.retry.RetryConstraints;
 import org.cuminspur.router.internal.caller.ClientDisconnectMonitor;
-import org.cuminspur.router.internal.caller.EventStreams;
 import org.cuminspur.traffic.FleetRetryBudget;
 import org.cuminspur.traffic.PlacementDecision;
-import org.cuminspur.traffic.RequestKind;
 import org.cuminspur.traffic.RequestMetadata;
 import org.cuminspur.traffic.ResponseMetadata;
 import org.cuminspur.traffic.UpstreamState;
@@ -240,21 +238,13 @@
         }
         status = responseStatus;
         firstByteMillis = now() - arrivedMillis;
-        boolean eventStream = responseStatus < REDIRECTION && isEventStream(headers);
-        relay.begin(eventStream, routed.route().resumable() && responseStatus < REDIRECTION);
-        HeaderMap relayed = UpstreamRequests.responseHeaders(headers, context.headerCodec());
+        boolean eventStream = responseStatus < REDIRECTION && routed.isEventStream(headers);
+        relay.begin(eventStream, eventStream && routed.route().resumable());
+        HeaderMap relayed = UpstreamRequests.responseHeaders(headers, context.headerCodec(), eventStream);
         closeIfUnready(relayed);
         writer.begin(responseStatus, relayed);
     }
 
-    /** Returns whether a response is a stream of events: by its type or, if it states none, by its route. */
-    private boolean isEventStream(HeaderMap headers) {
-        String contentType = headers.getFirst(Headers.CONTENT_TYPE);
-        return contentType == null
-                ? routed.route().kind() == RequestKind.STREAM
-                : EventStreams.isEventStream(contentType);
-    }
-
     @Override
     public void bodyReceived(UpstreamExchange from, ByteBuffer bytes) {
         writer.write(relay.take(bytes));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RoutedCall.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RoutedCall.java
@@ -1,9 +1,13 @@
 package org.cuminspur.router.internal.traffic;
 
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.util.Optional;
 import org.cuminspur.id.ServiceId;
+import org.cuminspur.router.internal.caller.EventStreams;
 import org.cuminspur.traffic.ClientAccount;
 import org.cuminspur.traffic.HostRoute;
+import org.cuminspur.traffic.RequestKind;
 
 /**
  * A request with its route, account, service, priority and deadline; immutable.
@@ -24,4 +28,10 @@
     boolean authenticated() {
         return account.isPresent();
     }
+
+    /** Returns whether a successful response is a stream of events: by its type or, if it states none, by its route. */
+    boolean isEventStream(HeaderMap responseHeaders) {
+        String contentType = responseHeaders.getFirst(Headers.CONTENT_TYPE);
+        return contentType == null ? route.kind() == RequestKind.STREAM : EventStreams.isEventStream(contentType);
+    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamRequests.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamRequests.java
@@ -58,11 +58,16 @@
         return request;
     }
 
-    /** Returns the headers of an upstream's response that are forwarded to its caller. */
-    static HeaderMap responseHeaders(HeaderMap from, HeaderCodec headerCodec) {
+    /**
+     * Returns the headers of an upstream's response that are forwarded to its caller.
+     *
+     * <p>The length of an event stream is not: a resumed stream may have another one, and a stream that is cut inside an
+     * event may reach it.
+     */
+    static HeaderMap responseHeaders(HeaderMap from, HeaderCodec headerCodec, boolean eventStream) {
         HeaderMap to = new HeaderMap();
         copyForwarded(from, to, headerCodec::forwardsToCaller);
-        if (from.contains(Headers.CONTENT_LENGTH) && !from.contains(Headers.TRANSFER_ENCODING)) {
+        if (!eventStream && from.contains(Headers.CONTENT_LENGTH) && !from.contains(Headers.TRANSFER_ENCODING)) {
             to.put(Headers.CONTENT_LENGTH, from.getFirst(Headers.CONTENT_LENGTH));
         }
         return to;
