Keep a load probe from taking the broken connection meant for an action

The stand-in service broke the connection of whichever request came next, and a router's load probe came first. With a probe sent between the two on purpose the test fails each time; it now always sends one. The stand-in breaks executions only, as its comment says.

--- a/org.cuminspur.router.test/tst/org/cuminspur/router/AtMostOnceProcessTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/AtMostOnceProcessTest.java
@@ -162,6 +162,7 @@
     @Test
     public void upstreamConnectionBreaksAfterExecution() {
         fleet.setFaults("booking-1", "{\"break_next\":true}");
+        fleet.call("GET", fleet.port("booking-1"), "/load", "");
         assertRefused(confirm(first, "lot-8"), "upstream-broke", "unknown");
         assertRefused(confirm(second, "lot-8"), "outcome-unknown", "unknown");
         assertEquals(executions("lot-8"), 1);
--- a/org.cuminspur.standin/src/org/cuminspur/standin/service/StandinService.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/service/StandinService.java
@@ -86,7 +86,8 @@
         signalExecution(key);
         answerGate.awaitOpen();
         Delays.sleepMillis(delayMillis);
-        if (breakNextConnection.compareAndSet(true, false)) {
+        // A probe has no key and is not an execution.
+        if (key != null && breakNextConnection.compareAndSet(true, false)) {
             IoUtils.safeClose(exchange.getConnection());
             return;
         }
