Count only chunks as the framing that a transfer encoding gives

The client of the own interface took any Transfer-Encoding for a marked end. With another one than chunked the client library reads until the connection ends, so a cut answer was relayed as complete and stored for repeats of its action.

--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -185,16 +185,10 @@
             body.endEmpty();
             closeUnlessReleased();
         } else {
-            body.start(exchange.getResponseChannel(), endIsMarked(answer));
+            body.start(exchange.getResponseChannel(), framing != BodyFraming.CONNECTION_END);
         }
     }
 
-    private boolean endIsMarked(ClientResponse answer) {
-        return framing == BodyFraming.NONE
-                || answer.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-                || answer.getResponseHeaders().contains(Headers.TRANSFER_ENCODING);
-    }
-
     private void fail(IOException cause) {
         response.completeExceptionally(cause);
         body.fail();
--- a/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerEndTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/AnswerEndTest.java
@@ -95,8 +95,7 @@
                 .toArray(Object[][]::new);
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(dataProvider = "answers", groups = "known-red")
+    @Test(dataProvider = "answers")
     public void answerIsCompleteOnlyIfItsEndIsMarkedAndOutsideAnEvent(
             Framing framing, End end, Content content, String protocol) {
         assertEquals(
@@ -104,8 +103,7 @@
                 isWhole(framing, end, content) ? content.body : "incomplete");
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(dataProvider = "answers", groups = "known-red")
+    @Test(dataProvider = "answers")
     public void onlyACompleteAnswerIsReplayed(Framing framing, End end, Content content, String protocol) {
         String path = path("/orders", framing, end, content);
         String key = "Idempotency-Key: key-" + KEYS.incrementAndGet() + "\r\n";
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/AnswerRelay.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminspur.http.client.BodyEnd;
-import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpResponseStream;
@@ -128,13 +127,12 @@
     }
 
     private AttemptEvent onBodyEnd() {
-        BodyEnd end = stream.framing() == BodyFraming.CONNECTION_END ? BodyEnd.CONNECTION_END : BodyEnd.COMPLETE;
-        countEnd(end);
+        countEnd(BodyEnd.COMPLETE);
         if (!eventStream) {
             return new AttemptEvent.AnswerCompleted();
         } else if (engine) {
             return events.endMarkerSeen() ? new AttemptEvent.AnswerCompleted() : brokenAnswer();
-        } else if (!boundary.isComplete(end)) {
+        } else if (!boundary.isComplete(BodyEnd.COMPLETE)) {
             return brokenAnswer();
         }
         return write(events.incompleteEvent()) ? new AttemptEvent.AnswerCompleted() : new AttemptEvent.CallerGone();
