Read and log the software version of upstreams and what a stream resumes

Three hypotheses (the router resumes within an answer anywhere; a client's try is placed anywhere; another process answers than the entry named) could not be told apart: no line named a version, and the header Resumes was not read.

'upstream-seen' and 'placed' now state the version, 'placed' also the last event and what the request resumes. No other decision depends on it.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
@@ -30,8 +30,8 @@
     /** Longest time to receive a body; far above what the largest one takes on the slowest link. */
     private static final long BODY_TIMEOUT_MS = 10_000;
 
-    private static final RequestMetadata UNREAD_CALL =
-            new RequestMetadata("", Optional.empty(), OptionalLong.empty(), PromptDescription.NONE, Optional.empty());
+    private static final RequestMetadata UNREAD_CALL = new RequestMetadata(
+            "", Optional.empty(), OptionalLong.empty(), PromptDescription.NONE, Optional.empty(), Optional.empty());
 
     private final TrafficContext context;
 
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
@@ -15,12 +15,14 @@
 import org.cuminspur.id.Revision;
 import org.cuminspur.id.RouteId;
 import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.store.StoreEntry;
 
 /** Values shared by the tests of this package; stateless. */
 final class TrafficFixtures {
     static final ServiceId MODEL = new ServiceId("model");
+    static final SoftwareVersion VERSION = new SoftwareVersion("v1");
     static final FailureDomainId MILANO = new FailureDomainId("milano");
     static final FailureDomainId TORINO = new FailureDomainId("torino");
     static final TrafficBounds BOUNDS = new TrafficBounds(5_000, 2_000, 2_000, 0.2, 52, 10_000, 1.5, 5, 2, 8_000);
@@ -56,7 +58,7 @@
 
     static UpstreamEntry upstream(String id, FailureDomainId domain, long remainingWarmupMillis) {
         return new UpstreamEntry(
-                new UpstreamId(id), 1, MODEL, "127.0.0.1", 8_080, domain, 64, false, remainingWarmupMillis);
+                new UpstreamId(id), 1, MODEL, "127.0.0.1", 8_080, domain, VERSION, 64, false, remainingWarmupMillis);
     }
 
     static UpstreamEntry draining(UpstreamEntry entry) {
@@ -67,6 +69,7 @@
                 entry.host(),
                 entry.port(),
                 entry.domain(),
+                entry.version(),
                 entry.slots(),
                 true,
                 entry.remainingWarmupMillis());
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetChangeEvents.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetChangeEvents.java
@@ -29,6 +29,8 @@
                     storeRevision,
                     "service",
                     entry.service().value(),
+                    "version",
+                    entry.version().value(),
                     "born",
                     entry.startedMillis(),
                     "leaving",
--- a/org.cuminspur/src/org/cuminspur/traffic/RequestMetadata.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/RequestMetadata.java
@@ -10,10 +10,12 @@
  * @param apiKey key of the client account; empty if none or more than one was sent
  * @param callerTimeoutMillis how long the caller waits after sending the request
  * @param lastEventId the event after which a stream resumes
+ * @param resumes id of the request that brought the first event of the stream that resumes
  */
 public record RequestMetadata(
         String requestId,
         Optional<String> apiKey,
         OptionalLong callerTimeoutMillis,
         PromptDescription prompt,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> resumes) {}
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamEntry.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamEntry.java
@@ -2,12 +2,14 @@
 
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
 
 /**
  * The entry that an upstream last published about itself; immutable.
  *
  * @param startedMillis start of the process, in milliseconds since the epoch; differs after a restart under the same id
+ * @param version version of its software; streams of two versions do not fit together
  * @param slots maximum number of concurrent requests
  * @param draining whether it accepts no new work
  * @param remainingWarmupMillis how long it will stay cold, 0 once warm
@@ -19,6 +21,7 @@
         String host,
         int port,
         FailureDomainId domain,
+        SoftwareVersion version,
         int slots,
         boolean draining,
         long remainingWarmupMillis) {
--- a/platform.test/tst/org/cuminspur/platform/PlatformHeadersTest.java
+++ b/platform.test/tst/org/cuminspur/platform/PlatformHeadersTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.ServiceId;
+import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.traffic.ForwardMetadata;
 import org.cuminspur.traffic.PromptDescription;
@@ -17,8 +18,8 @@
 
 /** Checks the headers that are added to requests to servers. */
 public class PlatformHeadersTest {
-    private static final RequestMetadata REQUEST =
-            new RequestMetadata("id", Optional.empty(), OptionalLong.empty(), PromptDescription.NONE, Optional.empty());
+    private static final RequestMetadata REQUEST = new RequestMetadata(
+            "id", Optional.empty(), OptionalLong.empty(), PromptDescription.NONE, Optional.empty(), Optional.empty());
 
     @Test
     public void namesAddressOfCacheSource() {
@@ -29,6 +30,7 @@
                 "127.0.0.1",
                 8_080,
                 new FailureDomainId("zone"),
+                new SoftwareVersion("v1"),
                 64,
                 true,
                 0);
