--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/OperatorConfigBuilder.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/OperatorConfigBuilder.java
@@ -79,13 +79,19 @@
         return root.put("version", version).toString();
     }
 
-    /** Returns a server's entry. */
+    /** Returns the entry of a server of software version v1. */
     public static String serverEntry(String service, int port, String zone, String state, long warmupLeftMillis) {
+        return serverEntry(service, "v1", port, zone, state, warmupLeftMillis);
+    }
+
+    /** Returns a server's entry. */
+    public static String serverEntry(
+            String service, String version, int port, String zone, String state, long warmupLeftMillis) {
         return JSON.createObjectNode()
                 .put("service", service)
                 .put("address", "127.0.0.1:" + port)
                 .put("zone", zone)
-                .put("version", "v1")
+                .put("version", version)
                 .put("slots", 8)
                 .put("state", state)
                 .put("warmup_left_ms", warmupLeftMillis)
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
@@ -77,6 +77,15 @@
         return new Answer(head.toString(), body.toString());
     }
 
+    /** Reads up to the first {@code end} after a {@code mark} and returns all that was read. */
+    public String readUntil(String mark, String end) throws IOException {
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(mark) < 0 || read.indexOf(end, read.indexOf(mark)) < 0) {
+            read.append(readChar());
+        }
+        return read.toString();
+    }
+
     /** Reads until the connection ends; appends {@code <reset>} if it was reset. */
     public String readToEnd() throws IOException {
         StringBuilder read = new StringBuilder();
