Remember the version that began a stream over its caller's tries

The retry mostly reaches another instance, often because the first died.

Change: StreamOriginDirectory. When the first event is delivered, the instance tells three others, chosen by the rendezvous order of the stream's id, which service and version began it; a try that names Resumes is bound to that version, which is asked of the three if it is not known here. No write to the store, no state to agree on: an origin may be unknown, never wrong. If nobody knows, any upstream serves while only one version can have begun the stream; otherwise the request is refused at once as stream-unknown (503, not run). Load notices and these messages share one datagram channel, PeerChannel.

--- a/org.cuminspur.router.test/tst/org/cuminspur/router/internal/traffic/LoadNoticeChannelTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/internal/traffic/PeerChannelTest.java
@@ -10,11 +10,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.cuminspur.event.EventSink;
+import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.traffic.LoadNotice;
 import org.cuminspur.traffic.LoadNoticeCodec;
@@ -28,8 +30,9 @@
 import org.xnio.XnioWorker;
 
 /** Checks that notices pass between registered instances only, over datagrams on the loopback address. */
-public class LoadNoticeChannelTest {
+public class PeerChannelTest {
     private static final LoadNotice NOTICE = new LoadNotice(new UpstreamId("i-1"), 7, 20);
+    private static final InstanceId PEER = new InstanceId("peer");
     private static final long TIMEOUT_MS = 5_000;
     private static final long QUIET_MS = 200;
 
@@ -38,7 +41,7 @@
     private XnioWorker worker;
     private DatagramSocket peer;
     private PeerAddress address;
-    private LoadNoticeChannel channel;
+    private PeerChannel channel;
 
     @BeforeMethod
     public void open() throws IOException {
@@ -48,9 +51,14 @@
         peer = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         peer.setSoTimeout((int) TIMEOUT_MS);
         address = new PeerAddress("127.0.0.1", freePort());
-        channel = new LoadNoticeChannel(EventSink.NONE, metrics, received::add);
+        channel = new PeerChannel(EventSink.NONE, metrics);
+        channel.register("load-notices", kind -> LoadNoticeCodec.isKind((byte) kind), (from, datagram) -> {
+            Optional<LoadNotice> notice = LoadNoticeCodec.decode(datagram);
+            notice.ifPresent(received::add);
+            return notice.isPresent();
+        });
         channel.open(worker, address);
-        channel.updatePeers(Stream.of(new PeerAddress("127.0.0.1", peer.getLocalPort())));
+        channel.updatePeers(Map.of(PEER, new PeerAddress("127.0.0.1", peer.getLocalPort())));
     }
 
     @AfterMethod
@@ -62,7 +70,7 @@
 
     @Test
     public void sendsNoticesToPeers() throws IOException {
-        channel.send(NOTICE);
+        channel.sendToAll("load-notices", LoadNoticeCodec.encode(NOTICE).orElseThrow());
         DatagramPacket packet = new DatagramPacket(new byte[LoadNoticeCodec.MAX_BYTES], LoadNoticeCodec.MAX_BYTES);
         peer.receive(packet);
         assertEquals(
--- a/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/TrafficRouter.java
@@ -44,6 +44,7 @@
                 settings,
                 platform.headerCodec(),
                 clock,
+                wallClock,
                 freshness,
                 this::requestConfirmation,
                 this::storeUnavailable,
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/LoadNotices.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/LoadNotices.java
@@ -1,58 +1,35 @@
 package org.cuminspur.router.internal.traffic;
 
-import com.codahale.metrics.MetricRegistry;
-import java.io.IOException;
-import java.util.Map;
+import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.cuminspur.event.EventSink;
-import org.cuminspur.id.InstanceId;
 import org.cuminspur.time.Clock;
-import org.cuminspur.traffic.FleetView;
 import org.cuminspur.traffic.LoadNotice;
+import org.cuminspur.traffic.LoadNoticeCodec;
 import org.cuminspur.traffic.LoadNoticePolicy;
-import org.cuminspur.traffic.PeerAddress;
 import org.cuminspur.traffic.PromptPlacement;
 import org.cuminspur.traffic.ResponseMetadata;
 import org.cuminspur.traffic.UpstreamPool;
 import org.cuminspur.traffic.UpstreamState;
-import org.xnio.XnioWorker;
 
 /** Shares the loads of overloaded upstreams with the other instances of the fleet; used on the traffic thread. */
 final class LoadNotices {
+    private static final String COUNTERS = "load-notices";
+
     private final Clock clock;
     private final UpstreamPool upstreams;
     private final PromptPlacement placement;
     private final EventSink events;
     private final LoadNoticePolicy policy = new LoadNoticePolicy();
-    private final LoadNoticeChannel channel;
+    private final PeerChannel channel;
 
-    /** Creates an object that shares nothing until {@link #open}. */
-    LoadNotices(
-            Clock clock, UpstreamPool upstreams, PromptPlacement placement, EventSink events, MetricRegistry metrics) {
+    LoadNotices(Clock clock, UpstreamPool upstreams, PromptPlacement placement, EventSink events, PeerChannel channel) {
         this.clock = clock;
         this.upstreams = upstreams;
         this.placement = placement;
         this.events = events;
-        this.channel = new LoadNoticeChannel(events, metrics, this::received);
-    }
-
-    /** Opens the channel to the other instances; without it, the reports to this instance count as before. */
-    void open(XnioWorker worker, PeerAddress address) {
-        try {
-            channel.open(worker, address);
-        } catch (IOException e) {
-            events.emit("load-notices-failed", "address", address.toString(), "error", e.toString());
-        }
-    }
-
-    void close() {
-        channel.close();
-    }
-
-    /** Applies a newer view of the fleet. */
-    void update(FleetView view, InstanceId self) {
-        channel.updatePeers(view.peers().entrySet().stream()
-                .filter(peer -> !peer.getKey().equals(self))
-                .map(Map.Entry::getValue));
+        this.channel = channel;
+        channel.register(COUNTERS, kind -> LoadNoticeCodec.isKind((byte) kind), (from, datagram) -> receive(datagram));
     }
 
     /** Records the load that an upstream reports, and tells the other instances if it is over the limit. */
@@ -70,13 +47,15 @@
                     load,
                     "loadLimit",
                     Math.round(limit));
-            channel.send(notice);
+            LoadNoticeCodec.encode(notice).ifPresent(datagram -> channel.sendToAll(COUNTERS, datagram));
         });
     }
 
-    private void received(LoadNotice notice) {
-        upstreams
-                .find(notice.upstream())
-                .ifPresent(upstream -> policy.recordReceived(upstream, notice, clock.millis()));
+    private boolean receive(ByteBuffer datagram) {
+        Optional<LoadNotice> notice = LoadNoticeCodec.decode(datagram);
+        notice.ifPresent(known -> upstreams
+                .find(known.upstream())
+                .ifPresent(upstream -> policy.recordReceived(upstream, known, clock.millis())));
+        return notice.isPresent();
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -58,7 +58,7 @@
     private final AttemptPlanner planner;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final BodyRelay relay = new BodyRelay();
-    private final StreamContinuation continuation = new StreamContinuation();
+    private final StreamContinuation continuation;
     private RoutedCall routed;
     private AttemptStateMachine attempts;
     private XnioExecutor.Key timer;
@@ -83,6 +83,7 @@
         this.disconnectMonitor = new ClientDisconnectMonitor(exchange, this::disconnected);
         this.log = new RequestLog(context, call);
         this.planner = new AttemptPlanner(context, call);
+        this.continuation = new StreamContinuation(context, call);
     }
 
     void start() {
@@ -111,7 +112,8 @@
         } else if (!context.stop().accepts(arrivedMillis, found.get().deadlineMillis())) {
             refuse(Refusal.of(ErrorKind.STOPPING));
         } else {
-            startAttempts(found.get());
+            continuation.bind(
+                    found.get(), bound -> bound.peek(this::startAttempts).peekLeft(this::refuse));
         }
     }
 
@@ -124,6 +126,9 @@
     }
 
     private void startAttempts(RoutedCall routedCall) {
+        if (finished) {
+            return;
+        }
         routed = routedCall;
         long left = routed.deadlineMillis() - now() + DEADLINE_TOLERANCE_MS;
         timer = exchange.getIoThread().executeAfter(this::deadlinePassed, Math.max(1, left), TimeUnit.MILLISECONDS);
@@ -250,7 +255,7 @@
     public void bodyReceived(UpstreamExchange from, ByteBuffer bytes) {
         ByteBuffer relayed = relay.take(bytes);
         if (relay.resumable() && relayed.hasRemaining()) {
-            continuation.delivered(from.upstream());
+            continuation.delivering(from.upstream(), routed);
         }
         writer.write(relayed);
         if (relay.hasGap()) {
@@ -287,7 +292,7 @@
     /** Returns the event for a response that broke off, or that never began. */
     private AttemptEvent brokenEvent() {
         return relay.begun()
-                ? new AttemptEvent.BrokenDuringAnswer(relay.resumePoint().isPresent())
+                ? new AttemptEvent.BrokenDuringAnswer(relay.resumePoint().isPresent() && continuation.certain())
                 : new AttemptEvent.BrokenBeforeAnswer();
     }
 
@@ -316,6 +321,9 @@
     }
 
     private void refuse(Refusal reason) {
+        if (finished) {
+            return;
+        }
         if (relay.begun()) {
             abortResponse(reason.kind().label());
             return;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RoutedCall.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RoutedCall.java
@@ -24,6 +24,11 @@
         ServiceId service,
         int priority,
         long deadlineMillis) {
+    /** Returns this request for another service of its route. */
+    RoutedCall withService(ServiceId other) {
+        return new RoutedCall(route, revision, account, other, priority, deadlineMillis);
+    }
+
     /** Returns whether it was authenticated by a key. */
     boolean authenticated() {
         return account.isPresent();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
@@ -1,26 +1,109 @@
 package org.cuminspur.router.internal.traffic;
 
+import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.cuminspur.errors.ErrorKind;
+import org.cuminspur.errors.Refusal;
+import org.cuminspur.id.ServiceId;
 import org.cuminspur.id.SoftwareVersion;
+import org.cuminspur.id.StreamId;
+import org.cuminspur.traffic.HostRoute;
+import org.cuminspur.traffic.RequestMetadata;
+import org.cuminspur.traffic.StreamOrigin;
+import org.cuminspur.traffic.StreamOriginDirectory;
 import org.cuminspur.traffic.UpstreamState;
 
 /**
  * The software version at which a request's stream may go on; used on the traffic thread.
  *
- * <p>Until an event is delivered any version may serve the stream. From then on only the version that delivered it may.
+ * <p>Until an event is delivered any version may serve a new stream. From then on, also over the caller's further
+ * requests, only the version that delivered it may.
  */
 final class StreamContinuation {
+    private final TrafficContext context;
+    private final RequestMetadata call;
+    private final StreamId stream;
     private Optional<SoftwareVersion> version = Optional.empty();
+    private boolean certain = true;
+
+    StreamContinuation(TrafficContext context, RequestMetadata call) {
+        this.context = context;
+        this.call = call;
+        this.stream = StreamId.ofRequest(
+                call.lastEventId().flatMap(after -> call.resumes()).orElse(call.requestId()));
+    }
 
     /** Returns the only version that may take the next attempt, empty if any may. */
     Optional<SoftwareVersion> version() {
         return version;
     }
 
-    /** Records that an upstream's events are delivered to the caller. */
-    void delivered(UpstreamState upstream) {
-        if (version.isEmpty()) {
-            version = Optional.of(upstream.entry().version());
+    /** Returns whether it is certain which version delivered events, so that the stream may go on. */
+    boolean certain() {
+        return certain;
+    }
+
+    /**
+     * Binds a request that resumes a stream to the service and version that began it.
+     *
+     * @param result receives the request, or its refusal if neither is known
+     */
+    void bind(RoutedCall routed, Consumer<Either<Refusal, RoutedCall>> result) {
+        if (!routed.route().resumable() || call.lastEventId().isEmpty()) {
+            result.accept(Either.right(routed));
+            return;
+        }
+        context.streamOrigins().find(stream, origin -> {
+            Optional<StreamOrigin> known = origin.or(() -> onlyOrigin(routed));
+            version = known.map(StreamOrigin::version);
+            String how = origin.isPresent() ? "known" : known.isPresent() ? "only-version" : "unknown";
+            context.metrics().counter("streams.resumed." + how).inc();
+            result.accept(known.filter(found -> serves(routed.route(), found.service()))
+                    .<Either<Refusal, RoutedCall>>map(found -> Either.right(routed.withService(found.service())))
+                    .orElseGet(() -> Either.left(Refusal.of(ErrorKind.STREAM_UNKNOWN))));
+        });
+    }
+
+    /** Records that an upstream's events are about to be delivered to the caller. */
+    void delivering(UpstreamState upstream, RoutedCall routed) {
+        if (version.isPresent()) {
+            return;
         }
+        SoftwareVersion delivered = upstream.entry().version();
+        version = Optional.of(delivered);
+        // A process that has started since under the same id may have taken the request.
+        certain = context.upstreams().find(upstream.id()).map(upstream::equals).orElse(true);
+        if (certain) {
+            long retentionMillis =
+                    routed.deadlineMillis() - context.clock().millis() + StreamOriginDirectory.RESUME_MARGIN_MS;
+            context.streamOrigins()
+                    .record(stream, new StreamOrigin(routed.service(), delivered), Math.max(0, retentionMillis));
+        }
+    }
+
+    /** Returns the only origin that a stream of the route can have. */
+    private Optional<StreamOrigin> onlyOrigin(RoutedCall routed) {
+        return routed.route().weightedServices().size() > 1
+                ? Optional.empty()
+                : context.streamOrigins()
+                        .onlyVersion(routed.service(), retentionMillis(routed.service()))
+                        .map(only -> new StreamOrigin(routed.service(), only));
+    }
+
+    /** Returns how long after its beginning any stream of a service may be resumed. */
+    private long retentionMillis(ServiceId service) {
+        long longestMillis = context.upstreams().view().routes().stream()
+                .flatMap(routes -> routes.config().routes().stream())
+                .filter(route -> route.resumable() && serves(route, service))
+                .mapToLong(HostRoute::timeoutMillis)
+                .max()
+                .orElse(0);
+        return longestMillis + StreamOriginDirectory.RESUME_MARGIN_MS;
+    }
+
+    private static boolean serves(HostRoute route, ServiceId service) {
+        return route.weightedServices().stream()
+                .anyMatch(weighted -> weighted.service().equals(service));
     }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
@@ -11,6 +11,7 @@
 import org.cuminspur.traffic.FleetRetryBudget;
 import org.cuminspur.traffic.PromptPlacement;
 import org.cuminspur.traffic.RetryAfterPolicy;
+import org.cuminspur.traffic.StreamOriginDirectory;
 import org.cuminspur.traffic.TrafficBounds;
 import org.cuminspur.traffic.UpstreamPool;
 import org.cuminspur.traffic.ViewFreshness;
@@ -29,6 +30,7 @@
         UpstreamPool upstreams,
         PromptPlacement placement,
         LoadNotices loadNotices,
+        StreamOriginDirectory streamOrigins,
         CallRouter router,
         UpstreamConnectionPool connections,
         HeaderCodec headerCodec,
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -11,9 +11,11 @@
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.cuminspur.event.EventSink;
 import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.router.HeaderCodec;
@@ -23,6 +25,9 @@
 import org.cuminspur.traffic.FleetView;
 import org.cuminspur.traffic.PromptPlacement;
 import org.cuminspur.traffic.RetryAfterPolicy;
+import org.cuminspur.traffic.StreamOriginCodec;
+import org.cuminspur.traffic.StreamOriginDirectory;
+import org.cuminspur.traffic.StreamOriginMessage;
 import org.cuminspur.traffic.UpstreamPool;
 import org.cuminspur.traffic.ViewFreshness;
 import org.xnio.OptionMap;
@@ -62,18 +67,24 @@
     /** Part of the grace time that is left for the process to exit. */
     private static final long EXIT_MARGIN_MS = 500;
 
+    /** Name of the counters of messages about the origins of streams. */
+    private static final String STREAM_ORIGINS = "stream-origins";
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Undertow server;
+    private final PeerChannel peers;
     private final TrafficContext context;
     private final TrafficSettings settings;
 
     /**
      * Creates the servers without starting them.
      *
+     * @param clock never goes back
+     * @param wallClock time of day
      * @param requestConfirmation requests a confirmation of the view; can be called on any thread
      * @param storeUnavailable returns whether no confirmation is to be expected; can be called on any thread
      */
@@ -81,6 +92,7 @@
             TrafficSettings settings,
             HeaderCodec headerCodec,
             Clock clock,
+            Clock wallClock,
             ViewFreshness freshness,
             Runnable requestConfirmation,
             BooleanSupplier storeUnavailable,
@@ -96,13 +108,15 @@
         UpstreamPool upstreams = new UpstreamPool(settings.id(), settings.bounds(), connections::closeAll);
         PromptPlacement placement =
                 new PromptPlacement(settings.domain(), settings.bounds().loadFactor(), random::nextDouble);
+        peers = new PeerChannel(events, metrics);
         context = new TrafficContext(
                 clock,
                 settings.bounds(),
                 freshness,
                 upstreams,
                 placement,
-                new LoadNotices(clock, upstreams, placement, events, metrics),
+                new LoadNotices(clock, upstreams, placement, events, peers),
+                streamOrigins(clock, wallClock),
                 new CallRouter(random::nextDouble),
                 connections,
                 headerCodec,
@@ -126,8 +140,7 @@
     /** Starts listening. */
     public void start() {
         server.start();
-        thread.execute(() ->
-                settings.peers().ifPresent(address -> context.loadNotices().open(worker, address)));
+        thread.execute(() -> settings.peers().ifPresent(address -> peers.open(worker, address)));
         thread.execute(this::sweepConnections);
     }
 
@@ -135,7 +148,10 @@
     public void publish(FleetView view) {
         thread.execute(() -> {
             context.upstreams().update(view, context.clock().millis());
-            context.loadNotices().update(view, settings.id());
+            context.streamOrigins().update(view);
+            peers.updatePeers(view.peers().entrySet().stream()
+                    .filter(peer -> !peer.getKey().equals(settings.id()))
+                    .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)));
         });
     }
 
@@ -158,10 +174,26 @@
     /** Closes all connections and stops the threads. */
     public void close() {
         server.stop();
-        context.loadNotices().close();
+        peers.close();
         worker.shutdownNow();
     }
 
+    private StreamOriginDirectory streamOrigins(Clock clock, Clock wallClock) {
+        StreamOriginDirectory directory = new StreamOriginDirectory(
+                settings.id(),
+                clock,
+                wallClock,
+                (delayMillis, action) -> thread.executeAfter(action, delayMillis, TimeUnit.MILLISECONDS),
+                (to, message) -> StreamOriginCodec.encode(message)
+                        .ifPresent(datagram -> peers.send(STREAM_ORIGINS, to, datagram)));
+        peers.register(STREAM_ORIGINS, kind -> StreamOriginCodec.isKind((byte) kind), (from, datagram) -> {
+            Optional<StreamOriginMessage> message = StreamOriginCodec.decode(datagram);
+            message.ifPresent(known -> directory.receive(from, known));
+            return message.isPresent();
+        });
+        return directory;
+    }
+
     /** Closes connections of callers as they fall idle, so that their next requests go to other instances. */
     private void closeIdleCallers() {
         context.callers().closeIdle();
--- a/org.cuminspur/src/org/cuminspur/traffic/LoadNoticeCodec.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/LoadNoticeCodec.java
@@ -20,6 +20,11 @@
 
     private LoadNoticeCodec() {}
 
+    /** Returns whether a datagram that begins with this byte is a load notice. */
+    public static boolean isKind(byte first) {
+        return first == VERSION;
+    }
+
     /** Returns the datagram of a notice, empty if the upstream's id is too long for one. */
     public static Optional<ByteBuffer> encode(LoadNotice notice) {
         byte[] id = notice.upstream().value().getBytes(StandardCharsets.UTF_8);
--- a/platform.test/tst/org/cuminspur/platform/StreamVersionTest.java
+++ b/platform.test/tst/org/cuminspur/platform/StreamVersionTest.java
@@ -67,8 +67,7 @@
         IntStream.range(0, STREAMS).forEach(i -> assertEquals(fleet.countRuns("alone-" + i), 1));
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void callerResumesAtTheSameInstance() {
         startOtherVersion();
         assertResumed(IntStream.range(0, STREAMS)
@@ -76,8 +75,7 @@
                 .toList());
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void callerResumesAtAnotherInstance() {
         startOtherVersion();
         assertResumed(IntStream.range(0, STREAMS)
@@ -85,8 +83,7 @@
                 .toList());
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void callerResumesAfterItsInstanceWasKilled() {
         startOtherVersion();
         int killed = fleet.startInstance();
@@ -99,8 +96,7 @@
                 .toList());
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void streamThatBeganBeforeTheOtherVersionServedGoesOnAtItsOwn() {
         int killed = fleet.startInstance();
         List<String> begun = IntStream.range(0, STREAMS)
@@ -113,8 +109,7 @@
                 .toList());
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void unknownStreamIsRefusedWhileSeveralVersionsServe() {
         startOtherVersion();
         Optional<StandinCaller.Answer> answer = fleet.resume(0, "unknown-2", "unknown-1");
@@ -128,8 +123,7 @@
         assertEquals(answer.map(StandinCaller.Answer::status), Optional.of(OK));
     }
 
-    /** Listed in KNOWN-RED.txt. */
-    @Test(groups = "known-red")
+    @Test
     public void resumedStreamIsRefusedAtOnceIfNoServerOfItsVersionIsLeft() {
         String begun = fleet.beginAndLeave(0, "gone-1");
         fleet.startServer("b1", "v2");
