--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -178,6 +178,7 @@
     public void notConnected(UpstreamExchange from) {
         detach(from);
         long now = now();
+        from.upstream().recordBroken(now);
         if (from.upstream().health().recordUnreachable(now)) {
             log.upstreamLeftOut(from.upstream(), "unreachable");
         }
@@ -190,7 +191,7 @@
     @Override
     public void responseStarted(UpstreamExchange from, int responseStatus, HeaderMap headers) {
         ResponseMetadata metadata = context.headerCodec().decodeAnswer(responseStatus, headers);
-        if (!matchesRequest(metadata, responseStatus)) {
+        if (!metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION)) {
             from.cancel();
             detach(from);
             recordFailure(from, "foreign-answer");
@@ -216,12 +217,6 @@
         }
     }
 
-    /** Returns whether a response belongs to this request and, if it claims success, is signed. */
-    private boolean matchesRequest(ResponseMetadata metadata, int responseStatus) {
-        boolean success = responseStatus < REDIRECTION;
-        return metadata.requestId().map(call.requestId()::equals).orElse(!success) && (metadata.signed() || !success);
-    }
-
     private void serverError(UpstreamExchange from, int responseStatus, HeaderMap headers) {
         recordFailure(from, "status");
         // Relaying such a status would tell the caller "not run", which the upstream did not state.
@@ -280,6 +275,7 @@
 
     @Override
     public void connectionBroken(UpstreamExchange from) {
+        from.upstream().recordBroken(now());
         responseBroken(from, "broken");
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
@@ -72,8 +72,7 @@
         }
         SoftwareVersion delivered = upstream.entry().version();
         version = Optional.of(delivered);
-        // A process that has started since under the same id may have taken the request.
-        certain = context.upstreams().find(upstream.id()).map(upstream::equals).orElse(true);
+        certain = isCertain(upstream, routed.service());
         if (certain) {
             long retentionMillis =
                     routed.deadlineMillis() - context.clock().millis() + StreamOriginDirectory.RESUME_MARGIN_MS;
@@ -82,13 +81,25 @@
         }
     }
 
+    /** Returns whether an upstream's entry surely is that of the process which took the request. */
+    private boolean isCertain(UpstreamState upstream, ServiceId service) {
+        boolean replaced = context.upstreams()
+                .find(upstream.id())
+                .filter(current -> !current.equals(upstream))
+                .isPresent();
+        boolean mayHaveRestarted = upstream.mayHaveRestarted(context.clock().millis());
+        return !replaced && (!mayHaveRestarted || onlyVersion(service).isPresent());
+    }
+
     /** Returns the only origin that a stream of the route can have. */
     private Optional<StreamOrigin> onlyOrigin(RoutedCall routed) {
         return routed.route().weightedServices().size() > 1
                 ? Optional.empty()
-                : context.streamOrigins()
-                        .onlyVersion(routed.service(), retentionMillis(routed.service()))
-                        .map(only -> new StreamOrigin(routed.service(), only));
+                : onlyVersion(routed.service()).map(only -> new StreamOrigin(routed.service(), only));
+    }
+
+    private Optional<SoftwareVersion> onlyVersion(ServiceId service) {
+        return context.streamOrigins().onlyVersion(service, retentionMillis(service));
     }
 
     /** Returns how long after its beginning any stream of a service may be resumed. */
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/PromptPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -221,6 +222,62 @@
         return new PromptPlacement.Criteria(OptionalLong.of(KEY), Optional.of(owner.id()), previousOwner, Set.of());
     }
 
+    @Test
+    public void boundRequestsGoToTheirVersionOnlyAndNotOverTheLoadBound() {
+        UpstreamEntry[] entries = mixedVersions();
+        pool.update(TrafficFixtures.view(6, entries), now);
+        UpstreamState first = chooseBound("v2").orElseThrow();
+        assertEquals(first.entry().version().value(), "v2");
+        TrafficFixtures.modelUpstreams(pool).stream()
+                .filter(state -> state.entry().version().value().equals("v2"))
+                .forEach(state -> addLoad(state, 40));
+        assertEquals(chooseBound("v2"), Optional.empty());
+        assertEquals(chooseBound("v3"), Optional.empty());
+    }
+
+    @Test
+    public void boundRequestsAvoidAnUpstreamThatMayHaveRestarted() {
+        pool.update(TrafficFixtures.view(6, mixedVersions()), now);
+        UpstreamState broken = chooseBound("v2").orElseThrow();
+        broken.recordBroken(now);
+        assertNotEquals(chooseBound("v2").orElseThrow().id(), broken.id());
+    }
+
+    @Test
+    public void nothingIsCopiedFromAnotherVersion() {
+        pool.update(TrafficFixtures.view(6, mixedVersions()), now);
+        UpstreamState target = chooseBound("v2").orElseThrow();
+        UpstreamState other = TrafficFixtures.modelUpstreams(pool).stream()
+                .filter(state -> !state.entry().version().equals(target.entry().version()))
+                .findFirst()
+                .orElseThrow();
+        PlacementDecision choice = placement
+                .choose(pool.upstreams(TrafficFixtures.MODEL), criteriaWithOwner(target, Optional.of(other.id())), now)
+                .orElseThrow();
+        assertEquals(choice.upstream().id(), target.id());
+        assertEquals(choice.cacheSource(), Optional.empty());
+    }
+
+    private Optional<UpstreamState> chooseBound(String version) {
+        PromptPlacement.Criteria criteria = new PromptPlacement.Criteria(
+                OptionalLong.of(KEY),
+                Optional.empty(),
+                Optional.empty(),
+                Set.of(),
+                Optional.of(new SoftwareVersion(version)));
+        return placement
+                .choose(pool.upstreams(TrafficFixtures.MODEL), criteria, now)
+                .map(PlacementDecision::upstream);
+    }
+
+    /** Returns six upstreams of version v1 and two of v2. */
+    private static UpstreamEntry[] mixedVersions() {
+        UpstreamEntry[] entries = TrafficFixtures.upstreams(8);
+        entries[6] = TrafficFixtures.upstream("upstream-6", 1, "v2");
+        entries[7] = TrafficFixtures.upstream("upstream-7", 1, "v2");
+        return entries;
+    }
+
     @Test
     public void requestsWithoutAPromptPreferTheOwnDomain() {
         PromptPlacement.Criteria noPrompt =
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/TrafficFixtures.java
@@ -61,6 +61,21 @@
                 new UpstreamId(id), 1, MODEL, "127.0.0.1", 8_080, domain, VERSION, 64, false, remainingWarmupMillis);
     }
 
+    /** Returns the entry of a server of a software version. */
+    static UpstreamEntry upstream(String id, long startedMillis, String version) {
+        return new UpstreamEntry(
+                new UpstreamId(id),
+                startedMillis,
+                MODEL,
+                "127.0.0.1",
+                8_080,
+                MILANO,
+                new SoftwareVersion(version),
+                64,
+                false,
+                0);
+    }
+
     static UpstreamEntry draining(UpstreamEntry entry) {
         return new UpstreamEntry(
                 entry.id(),
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -106,9 +106,7 @@
                 available);
         LoadEstimates loads = new LoadEstimates(service, nowMillis);
         if (criteria.version().isPresent()) {
-            candidates = candidates.stream()
-                    .filter(state -> loads.of(state) < bound(loads))
-                    .toList();
+            candidates = boundCandidates(candidates, loads, nowMillis);
         }
         if (candidates.isEmpty()) {
             return Optional.empty();
@@ -137,6 +135,18 @@
         return limit(new LoadEstimates(service, nowMillis));
     }
 
+    /** Returns the candidates for a request that is bound to their software version. */
+    private List<UpstreamState> boundCandidates(List<UpstreamState> candidates, LoadEstimates loads, long nowMillis) {
+        List<UpstreamState> withinBound = candidates.stream()
+                .filter(state -> loads.of(state) < bound(loads))
+                .toList();
+        return firstNonEmpty(
+                withinBound.stream()
+                        .filter(state -> !state.mayHaveRestarted(nowMillis))
+                        .toList(),
+                withinBound);
+    }
+
     @SafeVarargs
     private static List<UpstreamState> firstNonEmpty(List<UpstreamState>... levels) {
         return Stream.of(levels).filter(level -> !level.isEmpty()).findFirst().orElse(List.of());
--- a/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
@@ -14,4 +14,9 @@
         Optional<String> requestId, boolean signed, boolean notRun, Optional<ReportedLoad> load) {
     /** Numbers of requests running and waiting at an upstream; immutable. */
     public record ReportedLoad(int running, int waiting) {}
+
+    /** Returns whether the response belongs to a request and, if it claims success, is signed. */
+    public boolean belongsTo(String request, boolean success) {
+        return requestId.map(request::equals).orElse(!success) && (signed || !success);
+    }
 }
--- a/org.cuminspur/src/org/cuminspur/traffic/StreamOriginDirectory.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/StreamOriginDirectory.java
@@ -80,7 +80,7 @@
     /** Applies a newer view of the fleet. */
     public void update(FleetView view) {
         versions.update(view, clock.millis());
-        others = view.instances().stream()
+        others = view.peers().keySet().stream()
                 .filter(id -> !id.equals(self))
                 .map(id -> new Holder(id, Rendezvous.hash(id.value())))
                 .toList();
