Soak streams of three software versions and check both rules

The soak's model upstreams have three versions from the start and get others by releases; callers take a cut stream up again at another instance. Two promises are checked: streams-keep-version (at most two mixed) and streams-go-on (of 12 or more resumed at undisturbed instances, half of the share of new ones that begin), each with a planted fault.

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -71,7 +71,9 @@
             Map.entry("no-rollback", Checks::noRollback),
             Map.entry("cold-rate", Checks::coldRate),
             Map.entry("planned-stop-cuts-nothing", Checks::plannedStopCutsNothing),
-            Map.entry("recovery", Checks::recovery));
+            Map.entry("recovery", Checks::recovery),
+            Map.entry("streams-keep-version", StreamChecks::keepVersion),
+            Map.entry("streams-go-on", StreamChecks::goOn));
 
     private Checks() {}
 
@@ -237,7 +239,7 @@
                                 || disturbed(history, run.upstream(), call.sentMillis(), call.endMillis()));
     }
 
-    private static boolean disturbed(History history, String target, long from, long to) {
+    static boolean disturbed(History history, String target, long from, long to) {
         return faultsOn(history, target, from, to).findAny().isPresent();
     }
 
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
@@ -39,6 +39,11 @@
             return repeats;
         }
 
+        /** Returns whether it is a stream that a caller may take up again. */
+        boolean resumes() {
+            return this == CHAT;
+        }
+
         boolean stream() {
             return this == DRAFT || this == CHAT;
         }
@@ -89,6 +94,9 @@
      *
      * @param leftMillis how long the upstream was told that the answer is of use
      * @param broken whether the upstream itself spoiled the answer
+     * @param version the upstream's software version
+     * @param stream id of the request that brought the first event of the stream; the request's own unless it resumes
+     * @param lastEvent number of the event after which it resumes a stream, 0 for a new stream
      */
     record Run(
             String id,
@@ -98,7 +106,16 @@
             String account,
             long atMillis,
             long leftMillis,
-            boolean broken) {}
+            boolean broken,
+            String version,
+            String stream,
+            int lastEvent) {}
+
+    /** A caller's request to resume a stream; immutable. */
+    record Resumption(String id, String stream, String instance, long atMillis) {}
+
+    /** An upstream of a software version and when it began to serve; immutable. */
+    record Serving(String upstream, String version, long fromMillis) {}
 
     /** A change, and when the store had acknowledged it; immutable. */
     record Change(Said said, String subject, long atMillis) {}
@@ -115,6 +132,8 @@
     private final Queue<Run> runs = new ConcurrentLinkedQueue<>();
     private final Queue<Change> changes = new ConcurrentLinkedQueue<>();
     private final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
+    private final Queue<Resumption> resumptions = new ConcurrentLinkedQueue<>();
+    private final Queue<Serving> servings = new ConcurrentLinkedQueue<>();
 
     /** Returns the present time. */
     long now() {
@@ -137,6 +156,22 @@
         faults.add(fault);
     }
 
+    void add(Resumption resumption) {
+        resumptions.add(resumption);
+    }
+
+    void add(Serving serving) {
+        servings.add(serving);
+    }
+
+    List<Resumption> resumptions() {
+        return List.copyOf(resumptions);
+    }
+
+    List<Serving> servings() {
+        return List.copyOf(servings);
+    }
+
     List<Call> calls() {
         return List.copyOf(calls);
     }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Operator.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Operator.java
@@ -65,7 +65,7 @@
         store.put(
                 StandinStore.SERVERS_PREFIX + upstream.id(),
                 OperatorConfigBuilder.serverEntry(
-                        service, upstream.link().port(), upstream.domain(), state, coldLeftMillis));
+                        service, upstream.version(), upstream.link().port(), upstream.domain(), state, coldLeftMillis));
         if (leaving) {
             history.add(new Change(Said.UPSTREAM_LEAVES, upstream.id(), history.now()));
         }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakCaller.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakCaller.java
@@ -10,6 +10,7 @@
 import org.cuminspur.soak.internal.History.Call;
 import org.cuminspur.soak.internal.History.End;
 import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Resumption;
 import org.cuminspur.standin.users.StandinCaller;
 
 /**
@@ -32,6 +33,7 @@
     /** Share of requests after which the caller takes another connection. */
     private static final double RECONNECTS = 0.05;
 
+    private static final String EVENT_ID = "id: ";
     private static final int OK = 200;
 
     private final String name;
@@ -75,12 +77,26 @@
     }
 
     private void request() {
-        String id = name + "-" + ++count;
         Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        String id = name + "-" + ++count;
+        int received = request(kind, id, id, 0);
+        if (kind.resumes() && received > 0 && !stopped) {
+            request(kind, name + "-" + ++count, id, received);
+        }
+    }
+
+    /**
+     * Sends a request; returns the number of the last whole event received of a stream that was cut, otherwise 0.
+     *
+     * @param stream id of the request that brought the first event
+     * @param after number of the event after which the stream is resumed, 0 for a new one
+     */
+    private int request(Kind kind, String id, String stream, int after) {
         List<String> keys = operator.keys();
         String key = random.nextDouble() < WITH_DROPPED_KEY ? keys.get(2) : keys.get(random.nextInt(2));
         long sent = history.now();
         int start = 0;
+        int received = 0;
         End end = End.NOT_SENT;
         StandinCaller.Answer answer = null;
         try {
@@ -90,8 +106,11 @@
             }
             start = instance.starts();
             sent = history.now();
+            if (after > 0) {
+                history.add(new Resumption(id, stream, instance.name(), sent));
+            }
             end = End.CUT;
-            connection.post(kind.path(), id, key, headers());
+            connection.post(kind.path(), id, key, headers() + resumeHeaders(stream, after));
             answer = connection.readAnswer();
             end = End.WHOLE;
             if (answer.headContains("Connection: close")) {
@@ -102,16 +121,29 @@
             drop();
         } catch (IOException e) {
             // A connection that ended is what the checks are about.
+            received = connection == null ? 0 : lastEvent(connection.receivedBody());
             drop();
         }
         int status = answer == null ? 0 : answer.status();
-        boolean own = status == OK && own(kind, id, answer);
+        boolean own = status == OK && own(kind, id, after, answer);
         history.add(new Call(id, kind, instance.name(), start, key, sent, history.now(), end, status, own));
+        return received;
+    }
+
+    private static String resumeHeaders(String stream, int after) {
+        return after == 0 ? "" : "Last-Event-Id: " + after + "\r\nResumes: " + stream + "\r\n";
+    }
+
+    /** Returns the number of the last event that is whole in a part of a body, 0 if there is none. */
+    private static int lastEvent(String body) {
+        int end = body.lastIndexOf("\n\n");
+        int start = end < 0 ? -1 : body.lastIndexOf(EVENT_ID, end);
+        return start < 0 ? 0 : Integer.parseInt(body.substring(start + EVENT_ID.length(), body.indexOf('\n', start)));
     }
 
-    private static boolean own(Kind kind, String id, StandinCaller.Answer answer) {
+    private static boolean own(Kind kind, String id, int after, StandinCaller.Answer answer) {
         String expected = kind.stream()
-                ? IntStream.rangeClosed(1, SoakUpstream.EVENTS)
+                ? IntStream.rangeClosed(after + 1, SoakUpstream.EVENTS)
                         .mapToObj(number -> SoakUpstream.event(id, number))
                         .collect(Collectors.joining())
                 : SoakUpstream.body(id);
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -12,6 +12,7 @@
 import org.cuminspur.soak.internal.History.Change;
 import org.cuminspur.soak.internal.History.Fault;
 import org.cuminspur.soak.internal.History.Said;
+import org.cuminspur.soak.internal.History.Serving;
 import org.cuminspur.standin.users.StandinStore;
 import org.cuminspur.standin.users.StandinStoreFaults;
 
@@ -21,7 +22,10 @@
  * <p>A step ends by itself after its time. Where two steps of one kind overlap on one target, the first end ends both.
  */
 final class SoakFleet implements AutoCloseable {
-    private static final int MODELS = 5;
+    /** Enough that three versions of two upstreams each may serve at a time. */
+    private static final int MODELS = 6;
+
+    private static final int VERSIONS = 3;
     private static final int APPS = 3;
     private static final long SLOW_STORE_MS = 250;
 
@@ -66,10 +70,10 @@
         this.domains = domains;
         operator = new Operator(store, history, SoakCaller.PATIENCE_MS);
         for (int i = 0; i < MODELS; i++) {
-            models.add(upstream("model-" + i, Operator.MODEL, i, 0));
+            models.add(upstream("model-" + i, Operator.MODEL, i, version(i), 0));
         }
         for (int i = 0; i < APPS; i++) {
-            apps.add(upstream("app-" + i, Operator.APP, i, 0));
+            apps.add(upstream("app-" + i, Operator.APP, i, version(0), 0));
         }
         for (int i = 0; i < size; i++) {
             String domain = domains.get(i % domains.size());
@@ -163,8 +167,8 @@
         List<SoakUpstream> service = step.index() % 2 == 0 ? models : apps;
         String name = service == models ? Operator.MODEL : Operator.APP;
         SoakUpstream old = service.remove(0);
-        service.add(upstream(name + "-new-" + released, name, released, service == models ? Checks.COLD_MS : 0));
-        released++;
+        long coldMillis = service == models ? Checks.COLD_MS : 0;
+        service.add(upstream(name + "-new-" + released, name, released, version(++released), coldMillis));
         left.add(old);
         operator.announce(old, name, true, 0);
         later.schedule(() -> operator.forget(old), SERVE_ON_MS, TimeUnit.MILLISECONDS);
@@ -180,8 +184,14 @@
         return service.get(step.index() / 2 % service.size());
     }
 
-    private SoakUpstream upstream(String id, String service, int number, long coldMillis) {
-        SoakUpstream upstream = new SoakUpstream(id, domains.get(number % domains.size()), history);
+    /** Returns the software version of the upstream with a number; three are in use from the start. */
+    private static String version(int number) {
+        return "v1." + number % VERSIONS;
+    }
+
+    private SoakUpstream upstream(String id, String service, int number, String version, long coldMillis) {
+        SoakUpstream upstream = new SoakUpstream(id, domains.get(number % domains.size()), version, history);
+        history.add(new Serving(id, version, history.now()));
         if (coldMillis > 0) {
             history.add(new Change(Said.UPSTREAM_STARTED, id, history.now()));
         }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -42,14 +42,16 @@
 
     private final String id;
     private final String domain;
+    private final String version;
     private final History history;
     private final StandinServer server;
     private final FaultProxy link;
     private volatile Mode mode = Mode.SOUND;
 
-    SoakUpstream(String id, String domain, History history) {
+    SoakUpstream(String id, String domain, String version, History history) {
         this.id = id;
         this.domain = domain;
+        this.version = version;
         this.history = history;
         this.server = new StandinServer(id, this::answer);
         this.link = new FaultProxy(server.port());
@@ -63,6 +65,10 @@
         return domain;
     }
 
+    String version() {
+        return version;
+    }
+
     /** Returns the link by which all instances reach it. */
     FaultProxy link() {
         return link;
@@ -98,8 +104,19 @@
                 .findFirst()
                 .orElse(Kind.BOOK);
         boolean spoils = now != Mode.SOUND && now != Mode.SLOW;
+        String resumes = request.header("Resumes");
         history.add(new Run(
-                request.id(), kind, id, domain, request.account(), history.now(), request.deadlineMillis(), spoils));
+                request.id(),
+                kind,
+                id,
+                domain,
+                request.account(),
+                history.now(),
+                request.deadlineMillis(),
+                spoils,
+                version,
+                resumes.isEmpty() ? request.id() : resumes,
+                request.lastEventId()));
         Delays.sleepMillis(now == Mode.SLOW ? SLOW_MS : WORK_MS);
         if (now == Mode.LOSES_ANSWERS) {
             return false;
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -12,8 +12,10 @@
 import org.cuminspur.soak.internal.History.End;
 import org.cuminspur.soak.internal.History.Fault;
 import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Resumption;
 import org.cuminspur.soak.internal.History.Run;
 import org.cuminspur.soak.internal.History.Said;
+import org.cuminspur.soak.internal.History.Serving;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -23,7 +25,9 @@
 
     @DataProvider
     public Object[][] planted() {
-        return Stream.of(answers(), changes()).flatMap(Arrays::stream).toArray(Object[][]::new);
+        return Stream.of(answers(), streams(), changes())
+                .flatMap(Arrays::stream)
+                .toArray(Object[][]::new);
     }
 
     private static Object[][] answers() {
@@ -35,7 +39,8 @@
             }),
             row("true-refusals", seen -> {
                 seen.add(call("1", Kind.DRAFT, 1, 100, End.WHOLE, 503));
-                seen.add(new Run("1", Kind.DRAFT, "upstream", "north", Operator.ACCOUNT, 110, 1_000, true));
+                seen.add(new Run(
+                        "1", Kind.DRAFT, "upstream", "north", Operator.ACCOUNT, 110, 1_000, true, "v1", "1", 0));
             }),
             row("own-whole-answers", seen -> {
                 seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-1", 100, 200, End.WHOLE, 200, false));
@@ -48,7 +53,7 @@
             }),
             row("no-send-for-show", seen -> {
                 seen.add(call("1", Kind.LOOK, 1, 100, End.WHOLE, 200));
-                seen.add(new Run("1", Kind.LOOK, "upstream", "north", Operator.ACCOUNT, 110, 1, false));
+                seen.add(new Run("1", Kind.LOOK, "upstream", "north", Operator.ACCOUNT, 110, 1, false, "v1", "1", 0));
             }),
             row("planned-stop-cuts-nothing", seen -> {
                 seen.add(new Fault(Plan.STOP, INSTANCE, 100, 8_100));
@@ -62,6 +67,40 @@
         };
     }
 
+    private static Object[][] streams() {
+        return new Object[][] {
+            row(
+                    "streams-keep-version",
+                    seen -> IntStream.rangeClosed(0, StreamChecks.MAX_MIXED).forEach(i -> {
+                        seen.add(call("a" + i, Kind.CHAT, 1, 100, End.CUT, 200));
+                        seen.add(run("a" + i, Kind.CHAT, 110));
+                        seen.add(call("b" + i, Kind.CHAT, 1, 300, End.WHOLE, 200));
+                        seen.add(new Run(
+                                "b" + i,
+                                Kind.CHAT,
+                                "other",
+                                "north",
+                                Operator.ACCOUNT,
+                                310,
+                                1_000,
+                                false,
+                                "v2",
+                                "a" + i,
+                                3));
+                    })),
+            row("streams-go-on", seen -> {
+                seen.add(new Serving("upstream", "v1", 0));
+                seen.add(new Serving("other", "v1", 0));
+                IntStream.range(0, StreamChecks.MIN_RESUMED).forEach(i -> {
+                    seen.add(call("a" + i, Kind.CHAT, 1, 100, End.CUT, 200));
+                    seen.add(run("a" + i, Kind.CHAT, 110));
+                    seen.add(call("b" + i, Kind.CHAT, 1, 300, End.WHOLE, 503));
+                    seen.add(new Resumption("b" + i, "a" + i, INSTANCE, 300));
+                });
+            })
+        };
+    }
+
     private static Object[][] changes() {
         return new Object[][] {
             row("leaving-gets-nothing", seen -> {
@@ -129,6 +168,6 @@
     }
 
     private static Run run(String id, Kind kind, long at) {
-        return new Run(id, kind, "upstream", "north", Operator.ACCOUNT, at, 1_000, false);
+        return new Run(id, kind, "upstream", "north", Operator.ACCOUNT, at, 1_000, false, "v1", id, 0);
     }
 }
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
@@ -19,6 +19,7 @@
 
     private final Socket socket;
     private final InputStream in;
+    private StringBuilder received = new StringBuilder();
 
     /** Connects to a port of the loopback address. */
     public StandinCaller(int port) throws IOException {
@@ -61,12 +62,14 @@
 
     /** Reads one complete answer as its framing defines it; throws if the connection ends early. */
     public Answer readAnswer() throws IOException {
+        received = new StringBuilder();
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             head.append(readChar());
         }
         Matcher length = LENGTH.matcher(head);
         StringBuilder body = new StringBuilder();
+        received = body;
         if (length.find()) {
             read(body, Integer.parseInt(length.group(1)));
         } else if (head.toString().toLowerCase(java.util.Locale.ROOT).contains("chunked")) {
@@ -77,6 +80,11 @@
         return new Answer(head.toString(), body.toString());
     }
 
+    /** Returns what was received of the body of the last answer, which may be incomplete. */
+    public String receivedBody() {
+        return received.toString();
+    }
+
     /** Reads up to the first {@code end} after a {@code mark} and returns all that was read. */
     public String readUntil(String mark, String end) throws IOException {
         StringBuilder read = new StringBuilder();
