Do not take a broken connection for the restart of an upstream

For 5 s after each broken connection a stream that began there was not remembered, since the upstream might have restarted under its id. Breaking off an answer is no sign of a restart; refusing a connection is.

Change: only a refused connection counts. StreamVersionTest.streamsOfUpstreamsThatBreakOffAnswersAreRemembered guards it.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -178,7 +178,7 @@
     public void notConnected(UpstreamExchange from) {
         detach(from);
         long now = now();
-        from.upstream().recordBroken(now);
+        from.upstream().recordUnreachable(now);
         if (from.upstream().health().recordUnreachable(now)) {
             log.upstreamLeftOut(from.upstream(), "unreachable");
         }
@@ -275,7 +275,6 @@
 
     @Override
     public void connectionBroken(UpstreamExchange from) {
-        from.upstream().recordBroken(now());
         responseBroken(from, "broken");
     }
 
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/StreamVersionSimulation.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/StreamVersionSimulation.java
@@ -196,8 +196,6 @@
         server.running = false;
         List<SimulatedStream> broken = List.copyOf(server.streams);
         server.streams.clear();
-        broken.forEach(stream ->
-                stream.instance.pool.find(server.entry.id()).ifPresent(state -> state.recordBroken(time.nowMillis())));
         broken.forEach(this::resumeWithinAnswer);
     }
 
@@ -301,7 +299,7 @@
                 server.streams.add(stream);
                 return chosen;
             }
-            chosen.get().recordBroken(time.nowMillis());
+            chosen.get().recordUnreachable(time.nowMillis());
             tried.add(chosen.get().id());
         }
         return Optional.empty();
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -24,7 +24,7 @@
     /** How old an entry may be when it arrives; added to the remaining warm-up time. */
     private static final long MAX_ENTRY_AGE_MS = 1_000;
 
-    /** Time in which a restart that broke a connection shows in the upstream's entry. */
+    /** Time in which a restart, during which connections are refused, shows in the upstream's entry. */
     private static final long RESTART_VISIBLE_MS = 5_000;
 
     private static final long SECOND_MS = 1_000;
@@ -46,7 +46,7 @@
     private double expectedShare = 1;
     private double otherLoadAtNotice;
     private long noticedMillis = Long.MIN_VALUE;
-    private long brokenMillis = Long.MIN_VALUE;
+    private long unreachableMillis = Long.MIN_VALUE;
 
     UpstreamState(UpstreamEntry entry, long nowMillis) {
         this.entry = entry;
@@ -106,14 +106,14 @@
         inFlight--;
     }
 
-    /** Records that a connection to it broke or could not be made. */
-    public void recordBroken(long nowMillis) {
-        brokenMillis = nowMillis;
+    /** Records that no connection to it could be made. */
+    public void recordUnreachable(long nowMillis) {
+        unreachableMillis = nowMillis;
     }
 
     /** Returns whether it may have restarted, perhaps with other software, before its entry shows it. */
     public boolean mayHaveRestarted(long nowMillis) {
-        return brokenMillis != Long.MIN_VALUE && nowMillis - brokenMillis < RESTART_VISIBLE_MS;
+        return unreachableMillis != Long.MIN_VALUE && nowMillis - unreachableMillis < RESTART_VISIBLE_MS;
     }
 
     /** Records the load that the upstream reports, which includes this instance's requests. */
--- a/platform.test/tst/org/cuminspur/platform/StreamVersionTest.java
+++ b/platform.test/tst/org/cuminspur/platform/StreamVersionTest.java
@@ -109,6 +109,15 @@
                 .toList());
     }
 
+    @Test
+    public void streamsOfUpstreamsThatBreakOffAnswersAreRemembered() {
+        startOtherVersion();
+        IntStream.range(0, INSTANCES).forEach(i -> fleet.call(0, StreamFleet.BROKEN_PATH, "spoiled-" + i, ""));
+        assertResumed(IntStream.range(0, STREAMS)
+                .mapToObj(i -> joined(0, 1, "spoiled-again-" + i))
+                .toList());
+    }
+
     @Test
     public void unknownStreamIsRefusedWhileSeveralVersionsServe() {
         startOtherVersion();
