--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerAnswer.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import org.cuminspur.errors.Refusal;
 import org.cuminspur.http.client.BodyEnd;
-import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.Cancellation;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.once.StoredAnswer;
@@ -138,9 +137,8 @@
 
     /** Counts how this answer ended; called once, when the answer is written or given up. */
     void countEnd(BodyEnd end) {
-        BodyFraming framing =
-                BodyFraming.of(exchange.getRequestMethod(), exchange.getStatusCode(), exchange.getResponseHeaders());
-        metrics.counter(ResponseEndCounters.caller(framing, end)).inc();
+        metrics.counter(ResponseEndCounters.caller(CallerConnections.framing(exchange), end))
+                .inc();
     }
 
     /** Chunked encoding marks the end of the body even where the connection closes after the answer. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StreamContinuation.java
@@ -57,14 +57,19 @@
         context.streamOrigins().find(stream, origin -> {
             Optional<StreamOrigin> known = origin.or(() -> onlyOrigin(routed));
             version = known.map(StreamOrigin::version);
-            String how = origin.isPresent() ? "known" : known.isPresent() ? "only-version" : "unknown";
-            context.metrics().counter("streams.resumed." + how).inc();
+            countResumed(origin.isPresent() ? "known" : "only-version", known.isPresent());
             result.accept(known.filter(found -> serves(routed.route(), found.service()))
                     .<Either<Refusal, RoutedCall>>map(found -> Either.right(routed.withService(found.service())))
                     .orElseGet(() -> Either.left(Refusal.of(ErrorKind.STREAM_UNKNOWN))));
         });
     }
 
+    private void countResumed(String how, boolean known) {
+        context.metrics()
+                .counter("streams.resumed." + (known ? how : "unknown"))
+                .inc();
+    }
+
     /** Records that an upstream's events are about to be delivered to the caller. */
     void delivering(UpstreamState upstream, RoutedCall routed) {
         if (version.isPresent()) {
