Log the shared parts of prompts and what ended with an upstream

The line of a placement now names up to eight shared parts. UpstreamEndDetector proves the end of a process by a refused connection or by its entry, and logs once what was in progress there, with the parts of up to eight requests that had no byte of a body.

No decision changes.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -55,6 +55,7 @@
     private final ResponseWriter writer;
     private final ClientDisconnectMonitor disconnectMonitor;
     private final RequestLog log;
+    private final AttemptOutcomes outcomes;
     private final AttemptPlanner planner;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final BodyRelay relay = new BodyRelay();
@@ -63,7 +64,6 @@
     private AttemptStateMachine attempts;
     private XnioExecutor.Key timer;
     private UpstreamExchange upstreamExchange;
-    private long sentMillis;
     private long firstByteMillis = -1;
     private int status;
     private boolean finished;
@@ -82,6 +82,7 @@
         this.writer = new ResponseWriter(exchange, this);
         this.disconnectMonitor = new ClientDisconnectMonitor(exchange, this::disconnected);
         this.log = new RequestLog(context, call);
+        this.outcomes = new AttemptOutcomes(context, call, log);
         this.planner = new AttemptPlanner(context, call);
         this.continuation = new StreamContinuation(context, call);
     }
@@ -166,7 +167,7 @@
         UpstreamState upstream = chosen.get().upstream();
         log.placed(routed, chosen.get(), tried.size() + 1, now);
         tried.add(upstream.id());
-        sentMillis = now;
+        outcomes.sent(now);
         upstreamExchange = new UpstreamExchange(upstream, context.connections(), context.buffer(), this);
         upstream.recordSent(upstreamExchange, now);
         upstream.health().recordAttempt(now);
@@ -177,14 +178,7 @@
     @Override
     public void notConnected(UpstreamExchange from) {
         detach(from);
-        long now = now();
-        from.upstream().recordUnreachable(now);
-        if (from.upstream().health().recordUnreachable(now)) {
-            log.upstreamLeftOut(from.upstream(), "unreachable");
-        }
-        if (from.upstream().health().likelyStopped()) {
-            from.upstream().assumeCold(now, warmupMillis());
-        }
+        outcomes.notConnected(from, now(), warmupMillis());
         attemptFailed(from, "not-connected", 0, new AttemptEvent.NotConnected());
     }
 
@@ -194,11 +188,11 @@
         if (!metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION)) {
             from.cancel();
             detach(from);
-            recordFailure(from, "foreign-answer");
+            outcomes.failed(from, "foreign-answer", now());
             attemptFailed(from, "foreign-answer", responseStatus, brokenEvent());
             return;
         }
-        from.upstream().recordResponseStarted(from);
+        outcomes.responded(from);
         metadata.load().ifPresent(load -> {
             log.loadReported(load);
             context.loadNotices().reported(from.upstream(), load);
@@ -218,7 +212,7 @@
     }
 
     private void serverError(UpstreamExchange from, int responseStatus, HeaderMap headers) {
-        recordFailure(from, "status");
+        outcomes.failed(from, "status", now());
         // Relaying such a status would tell the caller "not run", which the upstream did not state.
         boolean mayRelay = !relay.begun() && !context.headerCodec().impliesNotRun(responseStatus);
         NextStep next = attempts.handle(mayRelay ? new AttemptEvent.ServerError() : brokenEvent());
@@ -228,7 +222,7 @@
         }
         from.discard();
         detach(from);
-        log.attemptFailed(from, "status", responseStatus, now() - sentMillis);
+        log.attemptFailed(from, "status", responseStatus, outcomes.sinceSentMillis(now()));
         perform(next);
     }
 
@@ -248,6 +242,7 @@
 
     @Override
     public void bodyReceived(UpstreamExchange from, ByteBuffer bytes) {
+        outcomes.bodyReceived(now());
         ByteBuffer relayed = relay.take(bytes);
         if (relay.resumable() && relayed.hasRemaining()) {
             continuation.delivering(from.upstream(), routed);
@@ -280,7 +275,7 @@
 
     private void responseBroken(UpstreamExchange from, String how) {
         detach(from);
-        recordFailure(from, how);
+        outcomes.broken(from, how, now());
         attemptFailed(from, how, status, brokenEvent());
     }
 
@@ -351,16 +346,10 @@
     }
 
     private void attemptFailed(UpstreamExchange from, String how, int responseStatus, AttemptEvent event) {
-        log.attemptFailed(from, how, responseStatus, now() - sentMillis);
+        log.attemptFailed(from, how, responseStatus, outcomes.sinceSentMillis(now()));
         perform(attempts.handle(event));
     }
 
-    private void recordFailure(UpstreamExchange from, String cause) {
-        if (from.upstream().health().recordFailure(now())) {
-            log.upstreamLeftOut(from.upstream(), cause);
-        }
-    }
-
     private void cancelUpstreamExchange() {
         if (upstreamExchange != null) {
             upstreamExchange.cancel();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
@@ -1,10 +1,13 @@
 package org.cuminspur.router.internal.traffic;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cuminspur.http.client.BodyEnd;
 import org.cuminspur.http.client.BodyFraming;
+import org.cuminspur.id.PromptPartId;
 import org.cuminspur.router.internal.caller.ResponseEndCounters;
 import org.cuminspur.traffic.PlacementDecision;
 import org.cuminspur.traffic.RequestMetadata;
@@ -19,6 +22,9 @@
 
     private static final double TENTHS = 10;
 
+    /** Parts of a prompt that a line names at most. */
+    private static final int MAX_PARTS = 8;
+
     private final TrafficContext context;
     private final RequestMetadata call;
     private long reportedLoad = -1;
@@ -60,6 +66,8 @@
             Long.toHexString(call.prompt().sharedPrefixKey().orElse(0)),
             "sharedTokens",
             call.prompt().sharedPrefixTokens(),
+            "parts",
+            partNames(call.prompt().sharedParts()),
             "attempt",
             attempt
         };
@@ -77,6 +85,11 @@
         context.events().emit("placed", fields);
     }
 
+    /** Returns the ids of parts of a prompt for a log line, the first ones if there are many. */
+    static String partNames(List<PromptPartId> parts) {
+        return parts.stream().limit(MAX_PARTS).map(PromptPartId::toString).collect(Collectors.joining(","));
+    }
+
     private static Object[] loadFields(PlacementDecision decision, long now) {
         UpstreamState upstream = decision.upstream();
         PlacementDecision.LoadEstimate estimate = decision.estimate();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -18,6 +18,7 @@
 import java.util.stream.Collectors;
 import org.cuminspur.event.EventSink;
 import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.quarantine.UpstreamEndDetector;
 import org.cuminspur.router.HeaderCodec;
 import org.cuminspur.router.TrafficSettings;
 import org.cuminspur.router.internal.operator.PrometheusText;
@@ -117,6 +118,7 @@
                 placement,
                 new LoadNotices(clock, upstreams, placement, events, peers),
                 streamOrigins(clock, wallClock),
+                new UpstreamEndDetector(end -> UpstreamEndLog.log(events, end)),
                 new CallRouter(random::nextDouble),
                 connections,
                 headerCodec,
@@ -149,6 +151,7 @@
         thread.execute(() -> {
             context.upstreams().update(view, context.clock().millis());
             context.streamOrigins().update(view);
+            context.upstreamEnds().update(view, context.clock().millis());
             peers.updatePeers(view.peers().entrySet().stream()
                     .filter(peer -> !peer.getKey().equals(settings.id()))
                     .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
@@ -5,6 +5,7 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -43,6 +44,9 @@
     /** Idle time after which a connection is closed where the upstream announces none. */
     static final long DEFAULT_KEEP_ALIVE_MS = 30_000;
 
+    /** Message of the exception for a refused connection; there is no type for it. */
+    private static final String REFUSED = "Connection refused";
+
     private static final OptionMap OPTIONS =
             OptionMap.create(UndertowOptions.ENABLE_HTTP2, false, Options.TCP_NODELAY, true);
 
@@ -96,6 +100,12 @@
                 TimeUnit.MILLISECONDS);
     }
 
+    /** Returns whether the reason why no connection was made is that no process listens at the address. */
+    static boolean isRefused(IOException failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        return cause instanceof ConnectException && REFUSED.equals(cause.getMessage());
+    }
+
     /** Closes the idle connections to an upstream that is gone. */
     void closeAll(UpstreamState upstream) {
         Deque<Idle> connections = idle.remove(upstream);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -64,6 +64,7 @@
     private boolean finished;
     private boolean discarding;
     private String cause = "";
+    private boolean refused;
     private BodyFraming framing = BodyFraming.NONE;
     private BodyEnd end = BodyEnd.NONE;
 
@@ -93,6 +94,11 @@
         return cause;
     }
 
+    /** Returns whether the upstream refused a connection, which it does only while no process listens there. */
+    boolean refused() {
+        return refused;
+    }
+
     /** Returns the framing of the response's body, {@link BodyFraming#NONE} before the response began. */
     BodyFraming framing() {
         return framing;
@@ -172,6 +178,7 @@
             cause = error.getCause() == null
                     ? error.toString()
                     : error.getCause().toString();
+            refused = UpstreamConnectionPool.isRefused(error);
             listener.notConnected(this);
         }
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptDescription.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptDescription.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import org.cuminspur.id.PromptPartId;
 import org.cuminspur.internal.hash.Rendezvous;
 
 /**
@@ -27,6 +28,15 @@
                 .sum();
     }
 
+    /** Returns the parts that other requests may have too: all but the last one. */
+    public List<PromptPartId> sharedParts() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1L))
+                .map(part -> new PromptPartId(part.hash()))
+                .distinct()
+                .toList();
+    }
+
     /** Returns a key that is equal for requests with the same shared parts, if there are any. */
     public OptionalLong sharedPrefixKey() {
         if (parts.size() < 2) {
