Show that a part of a prompt crashes one upstream after the other

CrashingPromptFleetTest simulates 6, 74 and 83 instances beside ordinary crashes, flapping upstreams, broken connections, kills of instances and lost messages. Its checker counts crashes by cause, requests with the part that reach upstreams once the fleet could know it, and sound requests that begin at their first attempt.

--- a/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
@@ -9,7 +9,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -37,6 +39,7 @@
     private final ServerSocket server;
     private final Script script;
     private final AtomicInteger connectionCount = new AtomicInteger();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
     public RawUpstream(Script script) {
@@ -82,6 +85,18 @@
         }
     }
 
+    /** Closes the port and all connections at once, as the end of a process does. */
+    public void crash() {
+        close();
+        sockets.forEach(socket -> {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
     private void accept() {
         while (!server.isClosed()) {
             try {
@@ -94,12 +109,15 @@
     }
 
     private void serve(Socket socket, int number) {
+        sockets.add(socket);
         try (socket) {
             socket.setSoTimeout(SOCKET_TIMEOUT_MS);
             script.run(new Connection(
                     number, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream(), socket));
         } catch (IOException e) {
             recordEvent("failed");
+        } finally {
+            sockets.remove(socket);
         }
     }
 
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
@@ -93,6 +93,11 @@
         server.close();
     }
 
+    /** Ends all connections and refuses new ones, as the end of a process does. */
+    public void crash() {
+        server.crash();
+    }
+
     /** Answers with a body of known length. */
     public static Behaviour plainAnswer(String body) {
         return (connection, request) -> {
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashPolicy.java
@@ -0,0 +1,33 @@
+package org.cuminspur.quarantine;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.cuminspur.id.PromptPartId;
+import org.cuminspur.traffic.FleetView;
+import org.cuminspur.traffic.UpstreamState;
+
+/** How one instance treats requests with parts that may crash upstreams; not thread-safe. */
+interface CrashPolicy {
+    /** Decides whether a request may be sent to an upstream; the result is passed on at once or later. */
+    void admit(List<PromptPartId> parts, Consumer<Boolean> result);
+
+    /** Records that a response went on for a while or was complete. */
+    default void answered(List<PromptPartId> parts) {}
+
+    /** Decides whether a request whose connection broke without an event may be sent to another upstream. */
+    void broken(UpstreamState upstream, BrokenRequest request, Consumer<Boolean> result);
+
+    /** Records that an upstream refused a connection. */
+    default void refused(UpstreamState upstream) {}
+
+    /** Records that an upstream responded to a request. */
+    default void responded(UpstreamState upstream, long sentMillis) {}
+
+    /** Applies a newer view of the fleet. */
+    default void update(FleetView view) {}
+
+    /** Returns whether requests with a part are rejected. */
+    default boolean blocks(PromptPartId part) {
+        return false;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashingPromptFleetTest.java
@@ -0,0 +1,103 @@
+package org.cuminspur.quarantine;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.function.Function;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks at the sizes of the deployments that a part of a prompt cannot crash one upstream after the other. */
+public class CrashingPromptFleetTest {
+    private static final int SEEDS = 6;
+    private static final int LARGE_FLEET = 20;
+    private static final int LARGE_SEEDS = 1;
+    private static final long BEFORE_MS = 10_000;
+    private static final long CRASHING_MS = 30_000;
+    private static final long AFTER_MS = 10_000;
+    private static final long STEP_MS = 2_000;
+
+    /** Mean time between requests with the part at one instance, where each learns alone. */
+    private static final double CRASHING_GAP_SECONDS = 15;
+
+    private static final CrashFleet SMALL = new CrashFleet(6, 6, 40, 2, 3_000, 0, 0, 0, 0);
+    private static final CrashFleet SMALL_DISTURBED = new CrashFleet(6, 6, 40, 2, 3_000, 0.2, 1, 0.03, 0.05);
+    private static final CrashFleet SMALL_BURST = new CrashFleet(6, 6, 40, 8, 3_000, 0, 0, 0.01, 0.05);
+    private static final CrashFleet LARGE = new CrashFleet(74, 63, 300, 4, 4_000, 0.5, 3, 0.01, 0.05);
+    private static final CrashFleet LARGEST = new CrashFleet(83, 98, 350, 4, 4_000, 0.5, 3, 0.01, 0.05);
+
+    @DataProvider
+    public Object[][] fleets() {
+        return Stream.of(SMALL, SMALL_DISTURBED, SMALL_BURST, LARGE, LARGEST)
+                .flatMap(fleet -> LongStream.rangeClosed(1, fleet.instances() < LARGE_FLEET ? SEEDS : LARGE_SEEDS)
+                        .mapToObj(seed -> new Object[] {fleet, seed}))
+                .toArray(Object[][]::new);
+    }
+
+    /** Listed in KNOWN-RED.txt. */
+    @Test(dataProvider = "fleets", groups = "known-red")
+    public void partCannotCrashOneUpstreamAfterTheOther(CrashFleet fleet, long seed) {
+        PromptCrashSimulation run = run(fleet, instance -> NaiveCrashPolicies.none(), seed);
+        PromptCrashChecker checker = run.checker();
+        assertTrue(checker.judged() && checker.withinBudget() && checker.soundRequestsBegin(), checker.toString());
+        assertEquals(run.blockingSoundParts(), 0);
+    }
+
+    @Test(dataProvider = "fleets")
+    public void sendingEverythingIsDetected(CrashFleet fleet, long seed) {
+        PromptCrashChecker checker =
+                run(fleet, instance -> NaiveCrashPolicies.none(), seed).checker();
+        assertFalse(checker.withinBudget(), checker.toString());
+    }
+
+    @Test(dataProvider = "fleets")
+    public void blockingAfterOneBrokenConnectionIsDetected(CrashFleet fleet, long seed) {
+        NaiveCrashPolicies.Blocks blocks = NaiveCrashPolicies.Blocks.afterOneBreak();
+        PromptCrashChecker checker = run(fleet, instance -> NaiveCrashPolicies.blocking(blocks, false), seed)
+                .checker();
+        assertFalse(checker.judged() && checker.soundRequestsBegin(), checker.toString());
+    }
+
+    @Test(dataProvider = "fleets")
+    public void blockingKeysIsDetected(CrashFleet fleet, long seed) {
+        NaiveCrashPolicies.Blocks blocks = NaiveCrashPolicies.Blocks.ofKeys();
+        PromptCrashChecker checker = run(fleet, instance -> NaiveCrashPolicies.blocking(blocks, false), seed)
+                .checker();
+        assertFalse(checker.withinBudget(), checker.toString());
+    }
+
+    @Test(dataProvider = "fleets")
+    public void blockingFirstPartsIsDetected(CrashFleet fleet, long seed) {
+        NaiveCrashPolicies.Blocks blocks = NaiveCrashPolicies.Blocks.ofFirstParts();
+        PromptCrashChecker checker = run(fleet, instance -> NaiveCrashPolicies.blocking(blocks, false), seed)
+                .checker();
+        assertFalse(checker.judged() && checker.soundRequestsBegin(), checker.toString());
+    }
+
+    @Test(dataProvider = "fleets")
+    public void instancesThatLearnAloneAreDetected(CrashFleet fleet, long seed) {
+        PromptCrashChecker checker = run(
+                        fleet,
+                        instance -> NaiveCrashPolicies.blocking(NaiveCrashPolicies.Blocks.ofUnansweredParts(), true),
+                        seed)
+                .checker();
+        assertFalse(checker.withinBudget(), checker.toString());
+    }
+
+    private static PromptCrashSimulation run(
+            CrashFleet fleet, Function<SimulatedInstance, CrashPolicy> policy, long seed) {
+        PromptCrashSimulation run = new PromptCrashSimulation(fleet, policy, seed);
+        run.advance(BEFORE_MS);
+        run.setCrashing(true);
+        for (long passed = 0; passed < CRASHING_MS; passed += STEP_MS) {
+            run.advance(STEP_MS);
+            run.killInstance();
+        }
+        run.setCrashing(false);
+        run.advance(AFTER_MS);
+        return run;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashChecker.java
@@ -0,0 +1,99 @@
+package org.cuminspur.quarantine;
+
+/**
+ * Counts what must hold while requests with one part crash upstreams; not thread-safe.
+ *
+ * <p>Few such requests reach upstreams once the fleet can know the part, and sound requests like them still begin.
+ */
+final class PromptCrashChecker {
+    /** Crashes from which the fleet must know the part. */
+    private static final int KNOWN_CRASHES = 5;
+
+    /** Requests with the part that may still reach upstreams. */
+    private static final int MAX_LATE_SENDS = 3;
+
+    /** Fewest sound requests in each period at which shares are judged. */
+    private static final int MIN_JUDGED = 20;
+
+    /** Least share of sound requests that begin, of the share before. */
+    private static final double MIN_SHARE = 0.5;
+
+    /** Requests that were sent, and those that began at their first attempt. */
+    private static final class Share {
+        private int sent;
+        private int begun;
+
+        double value() {
+            return (double) begun / sent;
+        }
+    }
+
+    private final long contactMillis;
+    private final Share before = new Share();
+    private final Share meanwhile = new Share();
+    private int crashes;
+    private int lateSends;
+    private long lastCrashMillis = Long.MAX_VALUE;
+    private long knownMillis = Long.MAX_VALUE;
+
+    PromptCrashChecker(long contactMillis) {
+        this.contactMillis = contactMillis;
+    }
+
+    /** Counts an upstream that ended as it began to answer a request with the part. */
+    void recordCrash(long nowMillis) {
+        crashes++;
+        if (crashes <= KNOWN_CRASHES) {
+            lastCrashMillis = nowMillis;
+        }
+        if (crashes == KNOWN_CRASHES) {
+            knownMillis = nowMillis;
+        }
+    }
+
+    /** Counts a request with the part that reaches an upstream. */
+    void recordSend(long nowMillis, boolean inTouch) {
+        if (inTouch && knownMillis != Long.MAX_VALUE && nowMillis > knownMillis + contactMillis) {
+            lateSends++;
+        }
+    }
+
+    /** Counts the first attempt of a sound request that has the first part of the others, before they come. */
+    void recordBefore(boolean begun) {
+        before.sent++;
+        before.begun += begun ? 1 : 0;
+    }
+
+    /** Counts one that was sent while requests with the part come. */
+    void recordMeanwhile(long sentMillis, boolean begun) {
+        if (lastCrashMillis != Long.MAX_VALUE && sentMillis > lastCrashMillis + 2 * contactMillis) {
+            meanwhile.sent++;
+            meanwhile.begun += begun ? 1 : 0;
+        }
+    }
+
+    int crashes() {
+        return crashes;
+    }
+
+    /** Returns whether few requests with the part reached upstreams after the fleet had to know it. */
+    boolean withinBudget() {
+        return lateSends <= MAX_LATE_SENDS;
+    }
+
+    /** Returns whether enough sound requests came to judge them. */
+    boolean judged() {
+        return before.sent >= MIN_JUDGED && meanwhile.sent >= MIN_JUDGED;
+    }
+
+    /** Returns whether sound requests begin. */
+    boolean soundRequestsBegin() {
+        return meanwhile.value() >= MIN_SHARE * before.value();
+    }
+
+    @Override
+    public String toString() {
+        return crashes + " upstreams ended, " + lateSends + " late sends; sound requests begun: before " + before.begun
+                + " of " + before.sent + ", meanwhile " + meanwhile.begun + " of " + meanwhile.sent;
+    }
+}
--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashSimulation.java
@@ -0,0 +1,289 @@
+package org.cuminspur.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.IntStream;
+import org.cuminspur.id.InstanceId;
+import org.cuminspur.id.PromptPartId;
+import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.testing.VirtualTime;
+import org.cuminspur.traffic.FleetView;
+
+/**
+ * Simulates requests one part of whose prompts crashes upstreams, among many sound ones, through many instances.
+ *
+ * <p>Not thread-safe. Sound requests share all other parts with the crashing ones. Upstreams also crash for no such
+ * cause, connections break although their upstream goes on, instances are killed, and their views and messages are late.
+ * Each caller tries once more after a failure.
+ */
+final class PromptCrashSimulation {
+    /** The part that crashes upstreams. */
+    static final PromptPartId CRASHING = part("crashing");
+
+    private static final long START_MS = 1_000_000;
+    private static final int FIRST_PARTS = 4;
+    private static final int SECOND_PARTS = 40;
+    private static final double RARE_SHARE = 0.02;
+    private static final int MAX_VIEW_DELAY_MS = 1_000;
+    private static final int MAX_LINK_DELAY_MS = 3;
+    private static final int MIN_FIRST_EVENT_MS = 40;
+    private static final int FIRST_EVENT_SPREAD_MS = 160;
+    private static final int MIN_REST_MS = 100;
+    private static final int REST_SPREAD_MS = 2_000;
+    private static final long RETRY_MS = 300;
+    private static final long INSTANCE_DOWN_MS = 1_000;
+    private static final long FLAP_MS = 1_500;
+    private static final double SECOND_MS = 1_000;
+
+    private final CrashFleet fleet;
+    private final Random random;
+    private final VirtualTime time = new VirtualTime(START_MS);
+    private final Function<SimulatedInstance, CrashPolicy> policy;
+    private final Map<InstanceId, SimulatedInstance> instances = new HashMap<>();
+    private final List<InstanceId> ids;
+    private final SimulatedUpstreams upstreams;
+    private final PromptCrashChecker checker;
+    private boolean crashingCome;
+    private int rareParts;
+
+    PromptCrashSimulation(CrashFleet fleet, Function<SimulatedInstance, CrashPolicy> policy, long seed) {
+        this.fleet = fleet;
+        this.policy = policy;
+        this.random = new Random(seed);
+        checker = new PromptCrashChecker(fleet.contactMillis());
+        upstreams = new SimulatedUpstreams(time, this::tellInstances);
+        ids = IntStream.range(0, fleet.instances())
+                .mapToObj(i -> new InstanceId("instance-" + i))
+                .sorted()
+                .toList();
+        IntStream.range(0, fleet.upstreams()).forEach(upstreams::start);
+        ids.forEach(this::startInstance);
+        repeat(fleet.requestsPerSecond(), this::sendSound);
+        repeat(
+                fleet.ordinaryCrashesPerSecond(),
+                () -> upstreams.anyRunning(random).ifPresent(this::crash));
+        IntStream.range(0, fleet.flappingUpstreams())
+                .forEach(address -> repeat(
+                        SECOND_MS / FLAP_MS, () -> upstreams.runningAt(address).ifPresent(this::crash)));
+    }
+
+    PromptCrashChecker checker() {
+        return checker;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    void advance(long millis) {
+        time.advance(millis);
+    }
+
+    /** Begins or ends the requests with the part that crashes upstreams. */
+    void setCrashing(boolean come) {
+        if (come && !crashingCome) {
+            crashingCome = true;
+            sendCrashing();
+        }
+        crashingCome = come;
+    }
+
+    /** Kills an instance, which starts again without any memory. */
+    void killInstance() {
+        InstanceId id = ids.get(random.nextInt(ids.size()));
+        SimulatedInstance killed = instances.get(id);
+        if (killed.running) {
+            killed.running = false;
+            killed.inProgress.forEach(attempt -> {
+                upstreams.find(attempt.upstream.id()).inProgress.remove(attempt);
+                attempt.settle(false);
+            });
+            time.schedule(INSTANCE_DOWN_MS, () -> startInstance(id));
+        }
+    }
+
+    /** Returns the number of instances at which a sound part is blocked. */
+    long blockingSoundParts() {
+        return instances.values().stream()
+                .filter(instance -> IntStream.range(0, FIRST_PARTS).anyMatch(i -> instance.policy.blocks(firstPart(i)))
+                        || IntStream.range(0, SECOND_PARTS).anyMatch(i -> instance.policy.blocks(secondPart(i)))
+                        || IntStream.range(0, rareParts).anyMatch(i -> instance.policy.blocks(rarePart(i))))
+                .count();
+    }
+
+    /** Delivers a message between instances, late, twice or not at all. */
+    void deliver(SimulatedInstance from, InstanceId to, Consumer<SimulatedInstance> handler) {
+        if (random.nextDouble() < fleet.messageLoss()) {
+            return;
+        }
+        int copies = random.nextDouble() < fleet.messageLoss() ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            time.schedule(1 + random.nextInt(20), () -> {
+                SimulatedInstance receiver = instances.get(to);
+                if (receiver != null && receiver.running && from.running) {
+                    handler.accept(receiver);
+                }
+            });
+        }
+    }
+
+    /** Tells an instance after a round trip whether a process listens at an upstream's address. */
+    void probe(SimulatedInstance from, SimulatedUpstreams.Upstream upstream, Consumer<Boolean> listening) {
+        from.schedule(2L * linkDelay(), () -> listening.accept(upstream.running));
+    }
+
+    SimulatedUpstreams upstreams() {
+        return upstreams;
+    }
+
+    /** Removes attempts that their instance has cancelled from their upstreams. */
+    void withdraw(List<SimulatedAttempt> attempts) {
+        attempts.forEach(
+                attempt -> upstreams.find(attempt.upstream.id()).inProgress.remove(attempt));
+    }
+
+    private void startInstance(InstanceId id) {
+        SimulatedInstance instance = new SimulatedInstance(id, time, random, this::reach, policy);
+        instances.put(id, instance);
+        instance.apply(upstreams.view(ids));
+    }
+
+    private void tellInstances() {
+        FleetView view = upstreams.view(ids);
+        instances
+                .values()
+                .forEach(instance -> time.schedule(1 + random.nextInt(MAX_VIEW_DELAY_MS), () -> instance.apply(view)));
+    }
+
+    private void sendSound() {
+        boolean rare = random.nextDouble() < RARE_SHARE;
+        PromptPartId first = firstPart(random.nextInt(FIRST_PARTS));
+        // Squared, so that some parts are seen seldom.
+        PromptPartId second = rare ? rarePart(rareParts++ / 4) : secondPart((int) (SECOND_PARTS * square()));
+        boolean judged = first.equals(firstPart(0));
+        long sentMillis = time.nowMillis();
+        boolean meanwhile = crashingCome;
+        call(new SimulatedAttempt(List.of(first, second), false, begun -> {
+            if (judged && meanwhile) {
+                checker.recordMeanwhile(sentMillis, begun);
+            } else if (judged && checker.crashes() == 0) {
+                checker.recordBefore(begun);
+            }
+            if (!begun) {
+                time.schedule(RETRY_MS, () -> call(new SimulatedAttempt(List.of(first, second), false, again -> {})));
+            }
+        }));
+    }
+
+    private double square() {
+        double drawn = random.nextDouble();
+        return drawn * drawn;
+    }
+
+    private void sendCrashing() {
+        if (!crashingCome) {
+            return;
+        }
+        PromptPartId second = secondPart(random.nextInt(SECOND_PARTS));
+        List<PromptPartId> parts = random.nextBoolean()
+                ? List.of(firstPart(0), CRASHING, second)
+                : List.of(firstPart(0), second, CRASHING);
+        call(new SimulatedAttempt(
+                parts,
+                true,
+                begun -> time.schedule(RETRY_MS, () -> {
+                    if (!begun) {
+                        call(new SimulatedAttempt(parts, true, again -> {}));
+                    }
+                })));
+        time.schedule(nextGap(fleet.crashingPerSecond()), this::sendCrashing);
+    }
+
+    private void call(SimulatedAttempt attempt) {
+        List<InstanceId> running =
+                ids.stream().filter(id -> instances.get(id).running).toList();
+        SimulatedInstance instance = instances.get(running.get(random.nextInt(running.size())));
+        instance.schedule(linkDelay(), () -> instance.take(attempt));
+    }
+
+    private boolean reach(SimulatedAttempt attempt) {
+        SimulatedUpstreams.Upstream upstream = upstreams.find(attempt.upstream.id());
+        if (!upstream.running) {
+            return false;
+        }
+        if (attempt.crashing) {
+            checker.recordSend(time.nowMillis(), attempt.instance.inTouch(fleet.contactMillis()));
+        }
+        upstream.inProgress.add(attempt);
+        boolean breaks = !attempt.crashing && random.nextDouble() < fleet.brokenShare();
+        time.schedule(
+                MIN_FIRST_EVENT_MS + random.nextInt(FIRST_EVENT_SPREAD_MS), () -> begin(upstream, attempt, breaks));
+        return true;
+    }
+
+    private void begin(SimulatedUpstreams.Upstream upstream, SimulatedAttempt attempt, boolean breaks) {
+        if (!upstream.inProgress.contains(attempt)) {
+            return;
+        }
+        if (attempt.crashing) {
+            checker.recordCrash(time.nowMillis());
+            crash(upstream);
+        } else if (breaks) {
+            upstream.inProgress.remove(attempt);
+            attempt.instance.broken(attempt);
+        } else {
+            attempt.instance.responded(attempt);
+            time.schedule(MIN_REST_MS + random.nextInt(REST_SPREAD_MS), () -> complete(upstream, attempt));
+        }
+    }
+
+    private static void complete(SimulatedUpstreams.Upstream upstream, SimulatedAttempt attempt) {
+        if (upstream.inProgress.remove(attempt) && attempt.instance.running) {
+            attempt.instance.completed(attempt);
+        }
+    }
+
+    private void crash(SimulatedUpstreams.Upstream upstream) {
+        List<SimulatedAttempt> broken = new ArrayList<>(upstreams.crash(upstream));
+        broken.forEach(attempt -> time.schedule(linkDelay(), () -> attempt.instance.broken(attempt)));
+    }
+
+    private void repeat(double perSecond, Runnable action) {
+        if (perSecond > 0) {
+            time.schedule(nextGap(perSecond), () -> {
+                action.run();
+                repeat(perSecond, action);
+            });
+        }
+    }
+
+    private long nextGap(double perSecond) {
+        return Math.max(1, Math.round(-Math.log(1 - random.nextDouble()) * SECOND_MS / perSecond));
+    }
+
+    private int linkDelay() {
+        return 1 + random.nextInt(MAX_LINK_DELAY_MS);
+    }
+
+    private static PromptPartId firstPart(int number) {
+        return part("first-" + number);
+    }
+
+    private static PromptPartId secondPart(int number) {
+        return part("second-" + number);
+    }
+
+    /** Returns a part that few requests have. */
+    private static PromptPartId rarePart(int number) {
+        return part("rare-" + number);
+    }
+
+    private static PromptPartId part(String name) {
+        return new PromptPartId(Rendezvous.hash(name));
+    }
+}
--- /dev/null
+++ b/platform.test/tst/org/cuminspur/platform/CrashingServers.java
@@ -0,0 +1,171 @@
+package org.cuminspur.platform;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.cuminspur.router.TrafficRouter;
+import org.cuminspur.router.TrafficSettings;
+import org.cuminspur.router.TrafficSettingsParser;
+import org.cuminspur.standin.Delays;
+import org.cuminspur.standin.raw.RawUpstream.Connection;
+import org.cuminspur.standin.users.InstanceSettings;
+import org.cuminspur.standin.users.OperatorConfigBuilder;
+import org.cuminspur.standin.users.StandinCaller;
+import org.cuminspur.standin.users.StandinServer;
+import org.cuminspur.standin.users.StandinStore;
+
+/**
+ * Several instances before servers that crash as they begin to answer a request with one part in its prompt, and that
+ * are back under another id a moment later; thread-safe.
+ */
+final class CrashingServers implements AutoCloseable {
+    /** Header value of a part that crashes servers. */
+    static final String CRASHING_PART = "bad0";
+
+    /** Path of streams whose servers send the head as they begin to run the request. */
+    static final String EARLY_HEAD_PATH = "/chat/early";
+
+    /** Path of streams whose servers send the head with the first event. */
+    static final String LATE_HEAD_PATH = "/chat/late";
+
+    private static final String SERVICE = "model";
+    private static final String INSTANCE_PREFIX = "cuminspur/instance/";
+    private static final int EVENTS = 3;
+    private static final long DOWN_MS = 700;
+    private static final long LEASE_MS = 500;
+    private static final long FIRST_EVENT_MS = 20;
+
+    /** Time in which a change in the store reaches the instances. */
+    private static final long APPLY_MS = 250;
+
+    private final StandinStore store = new StandinStore();
+    private final List<TrafficRouter> routers = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+    private final List<StandinServer> servers = new CopyOnWriteArrayList<>();
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger started = new AtomicInteger();
+    private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
+
+    CrashingServers(int instances, int size) {
+        store.put(
+                StandinStore.CONFIG_KEY,
+                new OperatorConfigBuilder()
+                        .service(SERVICE, false)
+                        .route("/chat/", "stream", SERVICE, 2, 6_000)
+                        .account("account", "key")
+                        .nextVersion());
+        IntStream.range(0, size).forEach(i -> startServer());
+        IntStream.range(0, instances).forEach(i -> startInstance());
+        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) == instances);
+        Deployment.pause(APPLY_MS);
+    }
+
+    /** Returns how many servers have crashed. */
+    int crashes() {
+        return crashes.get();
+    }
+
+    /** Returns how many requests with the crashing part have reached servers. */
+    long crashingSends() {
+        return servers.stream()
+                .flatMap(server -> server.executedRequests().stream())
+                .filter(request -> request.header("Prompt-Prefix").contains(CRASHING_PART))
+                .count();
+    }
+
+    /** Sends a stream with a prompt of these shared parts; returns the status, 0 if the answer is not complete. */
+    int call(int instance, String path, String id, String sharedParts) {
+        try (StandinCaller caller = new StandinCaller(ports.get(instance))) {
+            caller.post(path, id, "Prompt-Prefix: " + sharedParts + ",e0:10\r\nToken-Usage: 910,20\r\n");
+            return caller.readAnswer().status();
+        } catch (IOException e) {
+            // The answer was cut, or there was none.
+            return 0;
+        }
+    }
+
+    /** Starts another instance and waits until the others know it; returns its number. */
+    int addInstance() {
+        int registered = store.count(INSTANCE_PREFIX);
+        startInstance();
+        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
+        Deployment.pause(APPLY_MS);
+        return routers.size() - 1;
+    }
+
+    /** Crashes a server for no cause in a request. */
+    void crashAnyServer() {
+        crash(servers.get(servers.size() - 1), "server-" + (started.get() - 1));
+    }
+
+    @Override
+    public void close() {
+        restarts.shutdownNow();
+        routers.forEach(TrafficRouter::close);
+        servers.forEach(StandinServer::close);
+        store.close();
+    }
+
+    private void startServer() {
+        String id = "server-" + started.getAndIncrement();
+        StandinServer[] self = new StandinServer[1];
+        self[0] = new StandinServer(id, (connection, request) -> answer(self[0], id, connection, request));
+        servers.add(self[0]);
+        store.put(
+                StandinStore.SERVERS_PREFIX + id,
+                OperatorConfigBuilder.serverEntry(SERVICE, "v1", self[0].port(), "a", "ready", 0));
+    }
+
+    private boolean answer(StandinServer self, String id, Connection connection, StandinServer.Request request)
+            throws IOException {
+        boolean early = request.path().equals(EARLY_HEAD_PATH);
+        String head = StandinServer.answerHead(
+                200, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+        connection.send(early ? head : "");
+        Delays.sleepMillis(FIRST_EVENT_MS);
+        if (request.header("Prompt-Prefix").contains(CRASHING_PART)) {
+            crashes.incrementAndGet();
+            crash(self, id);
+            return false;
+        }
+        connection.send(early ? "" : head);
+        for (int event = request.lastEventId() + 1; event <= EVENTS; event++) {
+            StandinServer.sendChunk(connection, StandinServer.eventText(event));
+        }
+        connection.send("0\r\n\r\n");
+        return true;
+    }
+
+    private void crash(StandinServer server, String id) {
+        server.crash();
+        restarts.schedule(() -> store.remove(StandinStore.SERVERS_PREFIX + id), LEASE_MS, TimeUnit.MILLISECONDS);
+        restarts.schedule(this::startServer, DOWN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void startInstance() {
+        int port = freePort();
+        ports.add(port);
+        Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
+                "settings", InstanceSettings.text("router-" + port, "a", port, freePort(), freePort(), store.port()));
+        routers.add(TrafficRouter.start(
+                settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
