Soak upstreams that crash on a part of a prompt and check both rules

Two checks: few such requests reach upstreams once five have ended, and sound requests that share their first part with them begin. Both are seen to report planted faults (ChecksTest).

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -73,7 +73,9 @@
             Map.entry("planned-stop-cuts-nothing", Checks::plannedStopCutsNothing),
             Map.entry("recovery", Checks::recovery),
             Map.entry("streams-keep-version", StreamChecks::keepVersion),
-            Map.entry("streams-go-on", StreamChecks::goOn));
+            Map.entry("streams-go-on", StreamChecks::goOn),
+            Map.entry("few-crashing-reach-upstreams", CrashChecks::fewReachUpstreams),
+            Map.entry("sound-begin-beside-crashing", CrashChecks::soundOnesBegin));
 
     private Checks() {}
 
@@ -209,8 +211,10 @@
             return Stream.empty();
         }
         long over = history.faults().stream().mapToLong(Fault::toMillis).max().orElse(0) + RECOVERY_MS;
+        Set<String> crashing = history.crashingCalls();
         List<Call> after = history.calls().stream()
                 .filter(call -> call.sentMillis() > over && call.status() != 401)
+                .filter(call -> !crashing.contains(call.id()))
                 .toList();
         long served = after.stream()
                 .filter(call -> call.end() == End.WHOLE && call.status() == OK)
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.stream.Collectors;
 
@@ -117,6 +118,17 @@
     /** An upstream of a software version and when it began to serve; immutable. */
     record Serving(String upstream, String version, long fromMillis) {}
 
+    /**
+     * The prompt of a caller's request, and what came of it; immutable.
+     *
+     * @param crashingPart the part that crashes upstreams, empty if it has none
+     * @param begun whether the caller got a part of an answer
+     */
+    record Prompt(String call, String firstPart, String crashingPart, boolean begun) {}
+
+    /** The end of an upstream as it began to answer a request with a part in its prompt; immutable. */
+    record Crash(String part, String upstream, long atMillis) {}
+
     /** A change, and when the store had acknowledged it; immutable. */
     record Change(Said said, String subject, long atMillis) {}
 
@@ -134,6 +146,8 @@
     private final Queue<Fault> faults = new ConcurrentLinkedQueue<>();
     private final Queue<Resumption> resumptions = new ConcurrentLinkedQueue<>();
     private final Queue<Serving> servings = new ConcurrentLinkedQueue<>();
+    private final Queue<Prompt> prompts = new ConcurrentLinkedQueue<>();
+    private final Queue<Crash> crashes = new ConcurrentLinkedQueue<>();
 
     /** Returns the present time. */
     long now() {
@@ -164,6 +178,30 @@
         servings.add(serving);
     }
 
+    void add(Prompt prompt) {
+        prompts.add(prompt);
+    }
+
+    void add(Crash crash) {
+        crashes.add(crash);
+    }
+
+    List<Prompt> prompts() {
+        return List.copyOf(prompts);
+    }
+
+    List<Crash> crashes() {
+        return List.copyOf(crashes);
+    }
+
+    /** Returns the ids of requests with a part that crashes upstreams. */
+    Set<String> crashingCalls() {
+        return prompts.stream()
+                .filter(prompt -> !prompt.crashingPart().isEmpty())
+                .map(Prompt::call)
+                .collect(Collectors.toSet());
+    }
+
     List<Resumption> resumptions() {
         return List.copyOf(resumptions);
     }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
@@ -62,7 +62,9 @@
         UPSTREAM_RELEASE,
         DOMAIN_EMPTIED,
         KEYS_CHANGE,
-        ALL_KILLED
+        ALL_KILLED,
+        /** Requests come one part of whose prompts crashes upstreams. */
+        CRASHING_PART
     }
 
     /**
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Round.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Round.java
@@ -53,7 +53,8 @@
         List<SoakCaller> load = new ArrayList<>();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < callers; i++) {
-            load.add(new SoakCaller("call-" + i, fleet.instances(), fleet.operator(), history, random.split()));
+            load.add(new SoakCaller(
+                    "call-" + i, fleet.instances(), fleet.operator(), fleet.crashingPart(), history, random.split()));
             threads.add(new Thread(load.get(i), "caller-" + i));
         }
         long began = history.now();
@@ -83,7 +84,13 @@
     }
 
     private static Stream<String> seen(Plan plan, History history) {
-        return Stream.of(plan.steps(), history.faults(), history.changes(), history.calls(), history.runs())
+        return Stream.of(
+                        plan.steps(),
+                        history.faults(),
+                        history.changes(),
+                        history.calls(),
+                        history.runs(),
+                        history.crashes())
                 .flatMap(List::stream)
                 .map(Object::toString);
     }
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakCaller.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakCaller.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -10,6 +11,7 @@
 import org.cuminspur.soak.internal.History.Call;
 import org.cuminspur.soak.internal.History.End;
 import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Prompt;
 import org.cuminspur.soak.internal.History.Resumption;
 import org.cuminspur.standin.users.StandinCaller;
 
@@ -30,6 +32,11 @@
     /** Share of requests that bear the key that was dropped last. */
     private static final double WITH_DROPPED_KEY = 0.08;
 
+    /** Share of streams with the part that crashes upstreams, while there is one. */
+    private static final double WITH_CRASHING_PART = 0.1;
+
+    private static final int FIRST_PARTS = 12;
+
     /** Share of requests after which the caller takes another connection. */
     private static final double RECONNECTS = 0.05;
 
@@ -39,6 +46,7 @@
     private final String name;
     private final List<RouterProcess> instances;
     private final Operator operator;
+    private final CrashingPart crashingPart;
     private final History history;
     private final RandomGenerator random;
     private StandinCaller connection;
@@ -46,7 +54,14 @@
     private int count;
     private volatile boolean stopped;
 
-    SoakCaller(String name, List<RouterProcess> instances, Operator operator, History history, RandomGenerator random) {
+    SoakCaller(
+            String name,
+            List<RouterProcess> instances,
+            Operator operator,
+            CrashingPart crashingPart,
+            History history,
+            RandomGenerator random) {
+        this.crashingPart = crashingPart;
         this.name = name;
         this.instances = instances;
         this.operator = operator;
@@ -97,6 +112,9 @@
         long sent = history.now();
         int start = 0;
         int received = 0;
+        int firstPart = random.nextInt(FIRST_PARTS);
+        Optional<String> crashing =
+                kind.stream() && random.nextDouble() < WITH_CRASHING_PART ? crashingPart.current() : Optional.empty();
         End end = End.NOT_SENT;
         StandinCaller.Answer answer = null;
         try {
@@ -110,7 +128,7 @@
                 history.add(new Resumption(id, stream, instance.name(), sent));
             }
             end = End.CUT;
-            connection.post(kind.path(), id, key, headers() + resumeHeaders(stream, after));
+            connection.post(kind.path(), id, key, headers(firstPart, crashing) + resumeHeaders(stream, after));
             answer = connection.readAnswer();
             end = End.WHOLE;
             if (answer.headContains("Connection: close")) {
@@ -126,6 +144,10 @@
         }
         int status = answer == null ? 0 : answer.status();
         boolean own = status == OK && own(kind, id, after, answer);
+        if (end != End.NOT_SENT && after == 0) {
+            boolean begun = status == OK || received > 0;
+            history.add(new Prompt(id, Integer.toString(firstPart), crashing.orElse(""), begun));
+        }
         history.add(new Call(id, kind, instance.name(), start, key, sent, history.now(), end, status, own));
         return received;
     }
@@ -150,8 +172,8 @@
         return answer.body().equals(expected);
     }
 
-    private String headers() {
-        return StandinCaller.deadlineHeader(PATIENCE_MS) + StandinCaller.promptHeaders(random.nextInt(12));
+    private static String headers(int firstPart, Optional<String> crashing) {
+        return StandinCaller.deadlineHeader(PATIENCE_MS) + StandinCaller.promptHeaders(firstPart, crashing);
     }
 
     private RouterProcess choose() {
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -32,6 +32,14 @@
     /** Time that an upstream serves on after it said that it leaves; as long as requests may still reach it. */
     private static final long SERVE_ON_MS = Checks.LEAVE_MS + 1_500;
 
+    /** Time until an upstream that ended by itself is back, and until its entry is gone. */
+    private static final long DOWN_MS = 2_000;
+
+    private static final long LEASE_MS = 2_500;
+
+    /** Factor on the time of a step, since the bounds of its checks begin some seconds after it. */
+    private static final int CRASHING_FACTOR = 4;
+
     private static final Map<Plan.Kind, SoakUpstream.Mode> UPSTREAM_MODES = Map.of(
             Plan.Kind.UPSTREAM_SLOW, SoakUpstream.Mode.SLOW,
             Plan.Kind.UPSTREAM_ERRORS, SoakUpstream.Mode.ERRORS,
@@ -63,7 +71,9 @@
         thread.setDaemon(true);
         return thread;
     });
+    private final CrashingPart crashingPart = new CrashingPart();
     private int released;
+    private int crashingParts;
 
     SoakFleet(int size, List<String> domains, List<String> command, Path folder, History history) throws IOException {
         this.history = history;
@@ -85,6 +95,10 @@
         return operator;
     }
 
+    CrashingPart crashingPart() {
+        return crashingPart;
+    }
+
     List<RouterProcess> instances() {
         return List.copyOf(instances);
     }
@@ -105,6 +119,7 @@
             case UPSTREAM_RELEASE -> release(step);
             case DOMAIN_EMPTIED -> empty(domains.get(step.index() % domains.size()), step);
             case KEYS_CHANGE -> operator.changeKeys();
+            case CRASHING_PART -> crashUpstreams(step);
             case STORE_REFUSES, STORE_SILENT, STORE_SLOW, STORE_LOSES_REPLIES, STORE_FORGETS, STORE_WATCHES_DEAF ->
                 store(step);
             default -> spoil(upstream(step), step);
@@ -174,6 +189,28 @@
         later.schedule(() -> operator.forget(old), SERVE_ON_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void crashUpstreams(Plan.Step step) {
+        String part = crashingPart.begin(++crashingParts);
+        later.schedule(() -> crashingPart.end(part), CRASHING_FACTOR * step.forMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Replaces a model upstream that ended by itself by one at another address. */
+    private synchronized void replace(SoakUpstream crashed) {
+        history.add(new Change(Said.UPSTREAM_LEAVES, crashed.id(), history.now()));
+        fault("crash", crashed.id(), DOWN_MS);
+        models.remove(crashed);
+        later.schedule(() -> operator.forget(crashed), LEASE_MS, TimeUnit.MILLISECONDS);
+        later.schedule(
+                () -> models.add(upstream(
+                        Operator.MODEL + "-back-" + released,
+                        Operator.MODEL,
+                        ++released,
+                        crashed.version(),
+                        Checks.COLD_MS)),
+                DOWN_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     private void empty(String domain, Plan.Step step) {
         operator.empty(domain);
         after(step, () -> operator.restore(domain));
@@ -190,7 +227,8 @@
     }
 
     private SoakUpstream upstream(String id, String service, int number, String version, long coldMillis) {
-        SoakUpstream upstream = new SoakUpstream(id, domains.get(number % domains.size()), version, history);
+        SoakUpstream upstream =
+                new SoakUpstream(id, domains.get(number % domains.size()), version, history, this::replace);
         history.add(new Serving(id, version, history.now()));
         if (coldMillis > 0) {
             history.add(new Change(Said.UPSTREAM_STARTED, id, history.now()));
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.cuminspur.soak.internal.History.Crash;
 import org.cuminspur.soak.internal.History.Kind;
 import org.cuminspur.soak.internal.History.Run;
 import org.cuminspur.standin.Delays;
@@ -46,9 +49,16 @@
     private final History history;
     private final StandinServer server;
     private final FaultProxy link;
+    private final Consumer<SoakUpstream> onCrash;
     private volatile Mode mode = Mode.SOUND;
 
-    SoakUpstream(String id, String domain, String version, History history) {
+    /**
+     * Starts an upstream.
+     *
+     * @param onCrash receives it when it has ended by itself
+     */
+    SoakUpstream(String id, String domain, String version, History history, Consumer<SoakUpstream> onCrash) {
+        this.onCrash = onCrash;
         this.id = id;
         this.domain = domain;
         this.version = version;
@@ -118,7 +128,11 @@
                 resumes.isEmpty() ? request.id() : resumes,
                 request.lastEventId()));
         Delays.sleepMillis(now == Mode.SLOW ? SLOW_MS : WORK_MS);
-        if (now == Mode.LOSES_ANSWERS) {
+        Optional<String> crashing = CrashingPart.in(request.header("Prompt-Prefix"));
+        if (crashing.isPresent()) {
+            crash(crashing.get());
+            return false;
+        } else if (now == Mode.LOSES_ANSWERS) {
             return false;
         } else if (now == Mode.ERRORS) {
             return StandinServer.failureAnswer(500).answer(connection, request);
@@ -126,6 +140,13 @@
         return kind.stream() ? stream(connection, request, now) : plain(connection, request, now);
     }
 
+    private void crash(String part) {
+        history.add(new Crash(part, id, history.now()));
+        onCrash.accept(this);
+        link.close();
+        server.crash();
+    }
+
     private static boolean plain(Connection connection, StandinServer.Request request, Mode mode) throws IOException {
         String body = body(request.id());
         String whole = StandinServer.answerHead(200, request, "Content-Length: " + body.length() + "\r\n") + body;
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/StreamChecks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/StreamChecks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cuminspur.soak.internal.History.Call;
@@ -69,7 +70,9 @@
         long wentOn = judged.stream()
                 .filter(resumption -> runs.containsKey(resumption.id()))
                 .count();
+        Set<String> crashing = history.crashingCalls();
         List<Call> fresh = history.calls().stream()
+                .filter(call -> !crashing.contains(call.id()))
                 .filter(call -> call.kind().resumes() && call.end() != End.NOT_SENT)
                 .filter(call -> history.resumptions().stream()
                         .noneMatch(resumption -> resumption.id().equals(call.id())))
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -9,9 +9,11 @@
 import java.util.stream.Stream;
 import org.cuminspur.soak.internal.History.Call;
 import org.cuminspur.soak.internal.History.Change;
+import org.cuminspur.soak.internal.History.Crash;
 import org.cuminspur.soak.internal.History.End;
 import org.cuminspur.soak.internal.History.Fault;
 import org.cuminspur.soak.internal.History.Kind;
+import org.cuminspur.soak.internal.History.Prompt;
 import org.cuminspur.soak.internal.History.Resumption;
 import org.cuminspur.soak.internal.History.Run;
 import org.cuminspur.soak.internal.History.Said;
@@ -69,6 +71,14 @@
 
     private static Object[][] streams() {
         return new Object[][] {
+            row("few-crashing-reach-upstreams", seen -> crashing(seen, CrashChecks.MAX_LATE_RUNS + 1)),
+            row("sound-begin-beside-crashing", seen -> {
+                crashing(seen, 0);
+                IntStream.range(0, CrashChecks.MIN_JUDGED).forEach(i -> {
+                    sound(seen, "before-" + i, 100, true);
+                    sound(seen, "meanwhile-" + i, 15_000, false);
+                });
+            }),
             row(
                     "streams-keep-version",
                     seen -> IntStream.rangeClosed(0, StreamChecks.MAX_MIXED).forEach(i -> {
@@ -101,6 +111,27 @@
         };
     }
 
+    /** Adds five crashes, requests with the part that reach upstreams later, and one that does not. */
+    private static void crashing(History seen, int lateRuns) {
+        IntStream.range(0, CrashChecks.KNOWN_CRASHES)
+                .forEach(i -> seen.add(new Crash("bad1", "upstream-" + i, 1_000 + i)));
+        IntStream.range(0, lateRuns).forEach(i -> {
+            seen.add(call("late-" + i, Kind.DRAFT, 1, 9_000, End.CUT, 0));
+            seen.add(run("late-" + i, Kind.DRAFT, 9_010));
+            seen.add(new Prompt("late-" + i, "1", "bad1", false));
+        });
+        seen.add(call("last", Kind.DRAFT, 1, 20_000, End.WHOLE, 503));
+        seen.add(new Prompt("last", "1", "bad1", false));
+    }
+
+    private static void sound(History seen, String id, long sentMillis, boolean begun) {
+        seen.add(call(id, Kind.DRAFT, 1, sentMillis, End.WHOLE, begun ? 200 : 503));
+        seen.add(new Prompt(id, "1", "", begun));
+        if (begun) {
+            seen.add(run(id, Kind.DRAFT, sentMillis + 10));
+        }
+    }
+
     private static Object[][] changes() {
         return new Object[][] {
             row("leaving-gets-nothing", seen -> {
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinCaller.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -40,7 +41,14 @@
 
     /** Returns the header lines of a request whose prompt begins with the shared prefix of a number. */
     public static String promptHeaders(int shared) {
-        return "Prompt-Prefix: " + Integer.toHexString(0xa00 + shared) + ":900,b2:10\r\nToken-Usage: 910,20\r\n";
+        return promptHeaders(shared, Optional.empty());
+    }
+
+    /** Returns the header lines of a request whose prompt has a second shared part, in hexadecimal, if there is one. */
+    public static String promptHeaders(int shared, Optional<String> second) {
+        String first = Integer.toHexString(0xa00 + shared) + ":900";
+        String parts = second.map(part -> first + "," + part + ":100").orElse(first);
+        return "Prompt-Prefix: " + parts + ",b2:10\r\nToken-Usage: 1010,20\r\n";
     }
 
     /** Sends a POST with a two-byte body; {@code headers} are complete lines with their line ends. */
