--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -128,7 +128,7 @@
                 resumes.isEmpty() ? request.id() : resumes,
                 request.lastEventId()));
         Delays.sleepMillis(now == Mode.SLOW ? SLOW_MS : WORK_MS);
-        Optional<String> crashing = CrashingPart.in(request.header("Prompt-Prefix"));
+        Optional<String> crashing = CrashingPart.in(request.promptParts());
         if (crashing.isPresent()) {
             crash(crashing.get());
             return false;
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
@@ -46,6 +46,11 @@
             return left.isEmpty() ? 0 : Long.parseLong(left);
         }
 
+        /** Returns the parts of the prompt as the request lists them, empty if it lists none. */
+        public String promptParts() {
+            return header("Prompt-Prefix");
+        }
+
         /** Returns the number of the event after which to resume the stream, 0 for a new stream. */
         public int lastEventId() {
             String after = header("Last-Event-Id");
