Read and log the limits that upstreams name

No line told which limits were named, nor when an instance saw them. The header is decoded in the adapter; its first, changed and last value at an instance is logged, and each response's in the line on its end. What is no rate is logged once and ignored. No decision changes.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -176,6 +176,7 @@
             log.loadReported(load);
             context.loadNotices().reported(from.upstream(), load);
         });
+        log.limitNamed(from.upstream(), metadata.limit());
         if (metadata.notRun()) {
             from.discard();
             detach(from);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
@@ -1,6 +1,7 @@
 package org.cuminspur.router.internal.traffic;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -8,6 +9,7 @@
 import org.cuminspur.http.client.BodyEnd;
 import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.id.PromptPartId;
+import org.cuminspur.ratelimit.NamedLimit;
 import org.cuminspur.router.internal.caller.ResponseEndCounters;
 import org.cuminspur.traffic.PlacementDecision;
 import org.cuminspur.traffic.RequestMetadata;
@@ -28,6 +30,7 @@
     private final TrafficContext context;
     private final RequestMetadata call;
     private long reportedLoad = -1;
+    private double namedLimit = -1;
     private BodyFraming upstreamFraming = BodyFraming.NONE;
     private BodyEnd upstreamEnd = BodyEnd.NONE;
     private boolean insideEvent;
@@ -116,6 +119,21 @@
         reportedLoad = (long) load.running() + load.waiting();
     }
 
+    /** Notes the limit that an upstream named in its response, for the line on the end of the request. */
+    void limitNamed(UpstreamState upstream, Optional<NamedLimit> limit) {
+        namedLimit = limit.filter(NamedLimit::isValid)
+                .map(NamedLimit::requestsPerSecond)
+                .orElse(-1.0);
+        Optional<NamedLimit> before = upstream.namedLimit();
+        if (!limit.equals(before)) {
+            upstream.recordNamedLimit(limit);
+            String event = limit.isEmpty()
+                    ? "upstream-limit-ended"
+                    : limit.get().isValid() ? "upstream-limit-named" : "upstream-limit-invalid";
+            context.events().emit(event, "upstream", upstream.id().value(), "requestsPerSecond", namedLimit);
+        }
+    }
+
     /**
      * Counts how an upstream's response ended and notes it for the line on the end of the request.
      *
@@ -184,7 +202,7 @@
 
     /**
      * Logs the end of the request; times are since its arrival, {@code firstByteMillis} is -1 without a response and
-     * {@code reportedLoad} without a load report.
+     * {@code reportedLoad} and {@code namedLimit} without them.
      */
     void ended(RoutedCall routed, String outcome, int status, int attempts, long firstByteMillis, long millis) {
         String route = routed == null ? "none" : routed.route().id().value();
@@ -209,6 +227,8 @@
                         millis,
                         "reportedLoad",
                         reportedLoad,
+                        "namedLimit",
+                        namedLimit,
                         "upstreamFraming",
                         ResponseEndCounters.label(upstreamFraming),
                         "upstreamEnd",
--- a/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
@@ -1,6 +1,7 @@
 package org.cuminspur.traffic;
 
 import java.util.Optional;
+import org.cuminspur.ratelimit.NamedLimit;
 
 /**
  * What an upstream's response states apart from its body; immutable.
@@ -9,9 +10,14 @@
  * @param signed whether it has the upstream's signature, as every complete response does
  * @param notRun whether it states that the request was not run
  * @param load the load that the upstream reports, if any
+ * @param limit the rate that it names, if any
  */
 public record ResponseMetadata(
-        Optional<String> requestId, boolean signed, boolean notRun, Optional<ReportedLoad> load) {
+        Optional<String> requestId,
+        boolean signed,
+        boolean notRun,
+        Optional<ReportedLoad> load,
+        Optional<NamedLimit> limit) {
     /** Numbers of requests running and waiting at an upstream; immutable. */
     public record ReportedLoad(int running, int waiting) {}
 
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -2,9 +2,11 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminspur.id.UpstreamId;
 import org.cuminspur.internal.hash.Rendezvous;
+import org.cuminspur.ratelimit.NamedLimit;
 
 /**
  * This instance's state of one upstream: its entry, its load, and the outcomes of its requests.
@@ -47,6 +49,7 @@
     private double otherLoadAtNotice;
     private long noticedMillis = Long.MIN_VALUE;
     private long unreachableMillis = Long.MIN_VALUE;
+    private Optional<NamedLimit> namedLimit = Optional.empty();
 
     UpstreamState(UpstreamEntry entry, long nowMillis) {
         this.entry = entry;
@@ -68,6 +71,16 @@
         return health;
     }
 
+    /** Returns the limit that the last response to this instance named, if it did. */
+    public Optional<NamedLimit> namedLimit() {
+        return namedLimit;
+    }
+
+    /** Records the limit that a response named, empty if it named none. */
+    public void recordNamedLimit(Optional<NamedLimit> limit) {
+        namedLimit = limit;
+    }
+
     /** Returns the number of this instance's requests in progress. */
     public int inFlight() {
         return inFlight;
--- a/platform.test/tst/org/cuminspur/platform/PlatformHeadersTest.java
+++ b/platform.test/tst/org/cuminspur/platform/PlatformHeadersTest.java
@@ -4,16 +4,19 @@
 import static org.testng.Assert.assertFalse;
 
 import io.undertow.util.HeaderMap;
+import io.undertow.util.HttpString;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminspur.id.FailureDomainId;
 import org.cuminspur.id.ServiceId;
 import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
+import org.cuminspur.ratelimit.NamedLimit;
 import org.cuminspur.traffic.ForwardMetadata;
 import org.cuminspur.traffic.PromptDescription;
 import org.cuminspur.traffic.RequestMetadata;
 import org.cuminspur.traffic.UpstreamEntry;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Checks the headers that are added to requests to servers. */
@@ -38,6 +41,34 @@
         assertFalse(encodedHeaders(Optional.empty()).contains("Kv-Fetch"));
     }
 
+    @DataProvider
+    public Object[][] limits() {
+        return new Object[][] {
+            {"2.5", 2.5},
+            {" 30 ", 30},
+            {"0", 0},
+            {".5", 0.5},
+            {"7.", 7},
+            {"-1", Double.NaN},
+            {"", Double.NaN},
+            {"many", Double.NaN},
+            {"1e9", Double.NaN},
+            {"999999999999", Double.NaN},
+            {"NaN", Double.NaN},
+            {"1,5", Double.NaN}
+        };
+    }
+
+    @Test(dataProvider = "limits")
+    public void decodesTheLimitThatAServerNames(String text, double expected) {
+        HeaderMap headers = new HeaderMap();
+        headers.put(new HttpString("Server-Limit"), text);
+        Optional<NamedLimit> limit =
+                new PlatformHeaders().decodeAnswer(200, headers).limit();
+        assertEquals(limit.map(NamedLimit::requestsPerSecond), Optional.of(expected));
+        assertEquals(new PlatformHeaders().decodeAnswer(200, new HeaderMap()).limit(), Optional.empty());
+    }
+
     private static HeaderMap encodedHeaders(Optional<UpstreamEntry> cacheSource) {
         HeaderMap headers = new HeaderMap();
         ForwardMetadata forward =
--- a/platform.test/tst/org/cuminspur/platform/PlatformNamesTest.java
+++ b/platform.test/tst/org/cuminspur/platform/PlatformNamesTest.java
@@ -14,7 +14,7 @@
 /** Checks that only the platform adapter contains the platform's names, and that the adapter stays small. */
 public class PlatformNamesTest {
     private static final Pattern PLATFORM_NAMES = Pattern.compile(
-            "Attempt-Id|Response-Signature|Deadline-Ms|Prompt-Prefix|Token-Usage|Not-Executed|Server-Load|X-Api-Key"
+            "Attempt-Id|Response-Signature|Deadline-Ms|Prompt-Prefix|Token-Usage|Not-Executed|Server-Load|Server-Limit|X-Api-Key"
                     + "|Target-Instance|Request-Priority|Pin-Ms|Kv-Backup|Kv-From|kv-(?:txn|watch|range|lease|keep|key)"
                     + "|op/config|op/evacuate|warmup_left_ms|sticky_sessions|auth_exempt|max_attempts|traffic_split");
     private static final int MAX_ADAPTER_LINES = 1_200;
