--- a/org.cuminspur/src/org/cuminspur/quarantine/TrialArbiter.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/TrialArbiter.java
@@ -1,7 +1,6 @@
 package org.cuminspur.quarantine;
 
 import java.util.ArrayDeque;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -10,12 +9,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.PromptPartId;
-import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.time.Clock;
 import org.cuminspur.time.Timer;
+import org.cuminspur.traffic.ArbiterDirectory;
 import org.cuminspur.traffic.FleetView;
 
 /**
@@ -31,17 +29,14 @@
 
     private static final int MAX_GRANTS = 256;
 
-    /** An instance and the hash of its id; immutable. */
-    private record Candidate(InstanceId id, long hash) {}
-
     private final InstanceId self;
     private final Clock clock;
     private final Timer timer;
     private final BiConsumer<InstanceId, QuarantineMessage> sender;
     private final Predicate<PromptPartId> due;
+    private final ArbiterDirectory arbiters;
     private final Map<PromptPartId, Long> grantedMillis = new LinkedHashMap<>();
     private final Map<PromptPartId, Deque<Consumer<Boolean>>> waiting = new HashMap<>();
-    private List<Candidate> candidates;
 
     /**
      * Creates an arbiter that knows no other instance.
@@ -59,7 +54,7 @@
         this.timer = timer;
         this.sender = sender;
         this.due = due;
-        candidates = List.of(candidate(self));
+        arbiters = new ArbiterDirectory(self);
     }
 
     /** Returns the time from the last of a number of crashes to the next trial. */
@@ -73,10 +68,7 @@
     }
 
     void update(FleetView view) {
-        candidates = Stream.concat(Stream.of(self), view.peers().keySet().stream())
-                .distinct()
-                .map(TrialArbiter::candidate)
-                .toList();
+        arbiters.update(view);
     }
 
     /**
@@ -88,7 +80,7 @@
         PromptPartId part = parts.stream()
                 .min((a, b) -> Long.compareUnsigned(a.hash(), b.hash()))
                 .orElseThrow();
-        InstanceId arbiter = arbiterOf(part);
+        InstanceId arbiter = arbiters.arbiterOf(part.hash());
         if (arbiter.equals(self)) {
             result.accept(grant(part));
             return;
@@ -131,20 +123,9 @@
         return granted;
     }
 
-    private InstanceId arbiterOf(PromptPartId part) {
-        return candidates.stream()
-                .max(Comparator.comparingLong(candidate -> Rendezvous.mix(part.hash(), candidate.hash())))
-                .map(Candidate::id)
-                .orElse(self);
-    }
-
     private void forgetIfEmpty(PromptPartId part, Deque<Consumer<Boolean>> queue) {
         if (queue.isEmpty()) {
             waiting.remove(part, queue);
         }
     }
-
-    private static Candidate candidate(InstanceId id) {
-        return new Candidate(id, Rendezvous.hash(id.value()));
-    }
 }
