Soak upstreams that name limits and check that they are kept

A step lets an upstream name 3.5 requests a second for some seconds. The check counts, as the users' rule does, from undisturbed instances that got an answer which names the limit; it is seen to report a planted fault (ChecksTest).

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -74,6 +74,7 @@
             Map.entry("recovery", Checks::recovery),
             Map.entry("streams-keep-version", StreamChecks::keepVersion),
             Map.entry("streams-go-on", StreamChecks::goOn),
+            Map.entry("named-limits", LimitChecks::keptByThoseWhoKnow),
             Map.entry("few-crashing-reach-upstreams", CrashChecks::fewReachUpstreams),
             Map.entry("sound-begin-beside-crashing", CrashChecks::soundOnesBegin));
 
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/History.java
@@ -68,7 +68,9 @@
         UPSTREAM_LEAVES,
         DOMAIN_EMPTIED,
         DOMAIN_RESTORED,
-        UPSTREAM_STARTED
+        UPSTREAM_STARTED,
+        LIMIT_NAMED,
+        LIMIT_ENDED
     }
 
     /**
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
@@ -59,6 +59,7 @@
         UPSTREAM_GARBLES,
         UPSTREAM_EXTRA_ANSWERS,
         UPSTREAM_FULL,
+        UPSTREAM_LIMITED,
         UPSTREAM_RELEASE,
         DOMAIN_EMPTIED,
         KEYS_CHANGE,
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -37,8 +37,8 @@
 
     private static final long LEASE_MS = 2_500;
 
-    /** Factor on the time of a step, since the bounds of its checks begin some seconds after it. */
-    private static final int CRASHING_FACTOR = 4;
+    /** Factor on the time of steps the bounds of whose checks begin some seconds after them. */
+    private static final int LONG_FACTOR = 4;
 
     private static final Map<Plan.Kind, SoakUpstream.Mode> UPSTREAM_MODES = Map.of(
             Plan.Kind.UPSTREAM_SLOW, SoakUpstream.Mode.SLOW,
@@ -116,6 +116,7 @@
                 link(instance.storeLink(), instance.name(), step);
             case UPSTREAM_SILENT, UPSTREAM_RESET ->
                 link(upstream(step).link(), upstream(step).id(), step);
+            case UPSTREAM_LIMITED -> limit(upstream(step), step);
             case UPSTREAM_RELEASE -> release(step);
             case DOMAIN_EMPTIED -> empty(domains.get(step.index() % domains.size()), step);
             case KEYS_CHANGE -> operator.changeKeys();
@@ -189,9 +190,14 @@
         later.schedule(() -> operator.forget(old), SERVE_ON_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void limit(SoakUpstream upstream, Plan.Step step) {
+        upstream.limited(true);
+        later.schedule(() -> upstream.limited(false), LONG_FACTOR * step.forMillis(), TimeUnit.MILLISECONDS);
+    }
+
     private void crashUpstreams(Plan.Step step) {
         String part = crashingPart.begin(++crashingParts);
-        later.schedule(() -> crashingPart.end(part), CRASHING_FACTOR * step.forMillis(), TimeUnit.MILLISECONDS);
+        later.schedule(() -> crashingPart.end(part), LONG_FACTOR * step.forMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Replaces a model upstream that ended by itself by one at another address. */
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -4,9 +4,11 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.cuminspur.soak.internal.History.Change;
 import org.cuminspur.soak.internal.History.Crash;
 import org.cuminspur.soak.internal.History.Kind;
 import org.cuminspur.soak.internal.History.Run;
+import org.cuminspur.soak.internal.History.Said;
 import org.cuminspur.standin.Delays;
 import org.cuminspur.standin.raw.RawUpstream.Connection;
 import org.cuminspur.standin.users.StandinServer;
@@ -36,6 +38,9 @@
 
     static final int EVENTS = 8;
 
+    /** Requests a second that an upstream names as its limit; a fraction of what it gets otherwise. */
+    static final double LIMIT_PER_SECOND = 3.5;
+
     private static final long EVENT_GAP_MS = 25;
     private static final long WORK_MS = 15;
     private static final long SLOW_MS = 700;
@@ -51,6 +56,7 @@
     private final FaultProxy link;
     private final Consumer<SoakUpstream> onCrash;
     private volatile Mode mode = Mode.SOUND;
+    private volatile String limitHeader = "";
 
     /**
      * Starts an upstream.
@@ -88,6 +94,12 @@
         mode = next;
     }
 
+    /** Names a limit in its answers from now on, or none any more. */
+    void limited(boolean named) {
+        limitHeader = named ? StandinServer.limitHeader(LIMIT_PER_SECOND) : "";
+        history.add(new Change(named ? Said.LIMIT_NAMED : Said.LIMIT_ENDED, id, history.now()));
+    }
+
     /** Returns the body of the whole answer to a request that is no stream. */
     static String body(String requestId) {
         return "done " + requestId;
@@ -147,9 +159,10 @@
         server.crash();
     }
 
-    private static boolean plain(Connection connection, StandinServer.Request request, Mode mode) throws IOException {
+    private boolean plain(Connection connection, StandinServer.Request request, Mode mode) throws IOException {
         String body = body(request.id());
-        String whole = StandinServer.answerHead(200, request, "Content-Length: " + body.length() + "\r\n") + body;
+        String whole = StandinServer.answerHead(200, request, limitHeader + "Content-Length: " + body.length() + "\r\n")
+                + body;
         if (mode == Mode.GARBLES) {
             connection.send(whole.substring(0, whole.length() - body.length() / 2));
             return false;
@@ -158,9 +171,9 @@
         return true;
     }
 
-    private static boolean stream(Connection connection, StandinServer.Request request, Mode mode) throws IOException {
+    private boolean stream(Connection connection, StandinServer.Request request, Mode mode) throws IOException {
         connection.send(StandinServer.answerHead(
-                200, request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+                200, request, limitHeader + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
         int first = request.lastEventId() + 1;
         for (int number = first; number <= EVENTS; number++) {
             if (mode == Mode.GARBLES && number == (first + EVENTS) / 2) {
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -27,7 +27,7 @@
 
     @DataProvider
     public Object[][] planted() {
-        return Stream.of(answers(), streams(), changes())
+        return Stream.of(answers(), streams(), limits(), changes())
                 .flatMap(Arrays::stream)
                 .toArray(Object[][]::new);
     }
@@ -111,6 +111,19 @@
         };
     }
 
+    private static Object[][] limits() {
+        return new Object[][] {
+            row("named-limits", seen -> {
+                seen.add(new Change(Said.LIMIT_NAMED, "upstream", 0));
+                IntStream.rangeClosed(-1, LimitChecks.MAX_IN_WINDOW).forEach(i -> {
+                    long at = i < 0 ? 100 : 4_000 + i;
+                    seen.add(call("limited-" + i, Kind.LOOK, 1, at, End.WHOLE, 200));
+                    seen.add(run("limited-" + i, Kind.LOOK, at));
+                });
+            })
+        };
+    }
+
     /** Adds five crashes, requests with the part that reach upstreams later, and one that does not. */
     private static void crashing(History seen, int lateRuns) {
         IntStream.range(0, CrashChecks.KNOWN_CRASHES)
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
@@ -166,6 +166,11 @@
         connection.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
+    /** Returns the header line by which an answer names the requests a second that the server takes. */
+    public static String limitHeader(double requestsPerSecond) {
+        return "Server-Limit: " + requestsPerSecond + "\r\n";
+    }
+
     /** Returns the head of a signed answer to a request. */
     public static String answerHead(int status, Request request, String headers) {
         return "HTTP/1.1 " + status + " Any\r\nAttempt-Id: " + request.id() + "\r\nResponse-Signature: signed\r\n"
