--- a/platform.test/tst/org/cuminspur/platform/CrashingPromptTest.java
+++ b/platform.test/tst/org/cuminspur/platform/CrashingPromptTest.java
@@ -60,7 +60,7 @@
     @Test
     public void instanceThatStartsLearnsThePart() {
         sendCrashing("bad2", 0, REQUESTS);
-        int started = fleet.addInstance();
+        int started = fleet.startInstance();
         Deployment.pause(RECOVERY_MS);
         long before = fleet.crashingSends("bad2");
         IntStream.range(0, 3).forEach(i -> send(started, REQUESTS + i, "bad2"));
--- a/platform.test/tst/org/cuminspur/platform/CrashingServers.java
+++ b/platform.test/tst/org/cuminspur/platform/CrashingServers.java
@@ -1,11 +1,6 @@
 package org.cuminspur.platform;
 
-import io.vavr.control.Either;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
@@ -13,12 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
-import org.cuminspur.router.TrafficRouter;
-import org.cuminspur.router.TrafficSettings;
-import org.cuminspur.router.TrafficSettingsParser;
 import org.cuminspur.standin.Delays;
 import org.cuminspur.standin.raw.RawUpstream.Connection;
-import org.cuminspur.standin.users.InstanceSettings;
 import org.cuminspur.standin.users.OperatorConfigBuilder;
 import org.cuminspur.standin.users.StandinCaller;
 import org.cuminspur.standin.users.StandinServer;
@@ -39,18 +30,13 @@
     static final String LATE_HEAD_PATH = "/chat/late";
 
     private static final String SERVICE = "model";
-    private static final String INSTANCE_PREFIX = "cuminspur/instance/";
     private static final int EVENTS = 3;
     private static final long DOWN_MS = 700;
     private static final long LEASE_MS = 500;
     private static final long FIRST_EVENT_MS = 20;
 
-    /** Time in which a change in the store reaches the instances. */
-    private static final long APPLY_MS = 250;
-
     private final StandinStore store = new StandinStore();
-    private final List<TrafficRouter> routers = new ArrayList<>();
-    private final List<Integer> ports = new ArrayList<>();
+    private final RouterFleet routers;
     private final List<StandinServer> servers = new CopyOnWriteArrayList<>();
     private final AtomicInteger started = new AtomicInteger();
     private final ScheduledExecutorService restarts = Executors.newSingleThreadScheduledExecutor();
@@ -64,9 +50,7 @@
                         .account("account", "key")
                         .nextVersion());
         IntStream.range(0, size).forEach(i -> startServer());
-        IntStream.range(0, instances).forEach(i -> startInstance());
-        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) == instances);
-        Deployment.pause(APPLY_MS);
+        routers = new RouterFleet(store, instances);
     }
 
     /** Returns how many requests with a crashing part have reached servers. */
@@ -79,7 +63,7 @@
 
     /** Sends a stream with a prompt of these shared parts; returns the status, 0 if the answer is not complete. */
     int call(int instance, String path, String id, String sharedParts) {
-        try (StandinCaller caller = new StandinCaller(ports.get(instance))) {
+        try (StandinCaller caller = new StandinCaller(routers.port(instance))) {
             caller.post(path, id, "Prompt-Prefix: " + sharedParts + ",e0:10\r\nToken-Usage: 910,20\r\n");
             return caller.readAnswer().status();
         } catch (IOException e) {
@@ -88,19 +72,15 @@
         }
     }
 
-    /** Starts another instance and waits until the others know it; returns its number. */
-    int addInstance() {
-        int registered = store.count(INSTANCE_PREFIX);
-        startInstance();
-        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
-        Deployment.pause(APPLY_MS);
-        return routers.size() - 1;
+    /** Starts another instance, waits until the others can know it, and returns its number. */
+    int startInstance() {
+        return routers.start();
     }
 
     @Override
     public void close() {
         restarts.shutdownNow();
-        routers.forEach(TrafficRouter::close);
+        routers.close();
         servers.forEach(StandinServer::close);
         store.close();
     }
@@ -139,21 +119,4 @@
         restarts.schedule(() -> store.remove(StandinStore.SERVERS_PREFIX + id), LEASE_MS, TimeUnit.MILLISECONDS);
         restarts.schedule(this::startServer, DOWN_MS, TimeUnit.MILLISECONDS);
     }
-
-    private void startInstance() {
-        int port = freePort();
-        ports.add(port);
-        Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
-                "settings", InstanceSettings.text("router-" + port, "a", port, freePort(), freePort(), store.port()));
-        routers.add(TrafficRouter.start(
-                settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
-    }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- /dev/null
+++ b/platform.test/tst/org/cuminspur/platform/RouterFleet.java
@@ -0,0 +1,70 @@
+package org.cuminspur.platform;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminspur.router.TrafficRouter;
+import org.cuminspur.router.TrafficSettings;
+import org.cuminspur.router.TrafficSettingsParser;
+import org.cuminspur.standin.users.InstanceSettings;
+import org.cuminspur.standin.users.StandinStore;
+
+/** Several instances before one store; used by one thread. */
+final class RouterFleet implements AutoCloseable {
+    private static final String INSTANCE_PREFIX = "cuminspur/instance/";
+
+    /** Time in which a change in the store reaches the instances. */
+    private static final long APPLY_MS = 250;
+
+    private final StandinStore store;
+    private final List<TrafficRouter> routers = new ArrayList<>();
+    private final List<Integer> ports = new ArrayList<>();
+
+    RouterFleet(StandinStore store, int instances) {
+        this.store = store;
+        for (int i = 0; i < instances; i++) {
+            start();
+        }
+    }
+
+    /** Starts another instance, waits until the others can know it, and returns its number. */
+    int start() {
+        int registered = store.count(INSTANCE_PREFIX);
+        int port = freePort();
+        ports.add(port);
+        Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
+                "settings", InstanceSettings.text("router-" + port, "a", port, freePort(), freePort(), store.port()));
+        routers.add(TrafficRouter.start(
+                settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
+        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
+        Deployment.pause(APPLY_MS);
+        return routers.size() - 1;
+    }
+
+    /** Stops an instance at once. */
+    void kill(int instance) {
+        routers.get(instance).close();
+    }
+
+    /** Returns the port at which an instance receives requests. */
+    int port(int instance) {
+        return ports.get(instance);
+    }
+
+    @Override
+    public void close() {
+        routers.forEach(TrafficRouter::close);
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/platform.test/tst/org/cuminspur/platform/StreamFleet.java
+++ b/platform.test/tst/org/cuminspur/platform/StreamFleet.java
@@ -1,22 +1,13 @@
 package org.cuminspur.platform;
 
-import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import org.cuminspur.router.TrafficRouter;
-import org.cuminspur.router.TrafficSettings;
-import org.cuminspur.router.TrafficSettingsParser;
-import org.cuminspur.standin.users.InstanceSettings;
 import org.cuminspur.standin.users.OperatorConfigBuilder;
 import org.cuminspur.standin.users.StandinCaller;
 import org.cuminspur.standin.users.StandinServer;
@@ -39,15 +30,13 @@
     static final int EVENTS = 20;
 
     private static final String SERVICE = "model";
-    private static final String INSTANCE_PREFIX = "cuminspur/instance/";
 
     /** Time in which a change in the store reaches the instances. */
     private static final long APPLY_MS = 250;
 
     final StandinStore store = new StandinStore();
     private final Map<String, StandinServer> servers = new LinkedHashMap<>();
-    private final List<TrafficRouter> routers = new ArrayList<>();
-    private final List<Integer> ports = new ArrayList<>();
+    private final RouterFleet routers;
 
     StreamFleet(int instances) {
         store.put(
@@ -58,28 +47,17 @@
                         .route("/waiting/", "stream", SERVICE, 2, 6_000)
                         .account("account", "key")
                         .nextVersion());
-        for (int i = 0; i < instances; i++) {
-            startInstance();
-        }
+        routers = new RouterFleet(store, instances);
     }
 
     /** Starts another instance, waits until the others can know it, and returns its number. */
     int startInstance() {
-        int registered = store.count(INSTANCE_PREFIX);
-        int port = freePort();
-        ports.add(port);
-        Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
-                "settings", InstanceSettings.text("router-" + port, "a", port, freePort(), freePort(), store.port()));
-        routers.add(TrafficRouter.start(
-                settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
-        Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
-        Deployment.pause(APPLY_MS);
-        return routers.size() - 1;
+        return routers.start();
     }
 
     /** Stops an instance at once. */
     void killInstance(int instance) {
-        routers.get(instance).close();
+        routers.kill(instance);
     }
 
     /** Starts a server and waits until the instances use it. */
@@ -121,7 +99,7 @@
 
     /** Begins a stream at an instance and leaves after its first part; returns the events received. */
     String beginAndLeave(int instance, String id) {
-        try (StandinCaller caller = new StandinCaller(ports.get(instance))) {
+        try (StandinCaller caller = new StandinCaller(routers.port(instance))) {
             caller.post(WAITING_PATH, id, "");
             return caller.readUntil("id: " + FIRST_PART + "\n", "\n\n");
         } catch (IOException e) {
@@ -136,7 +114,7 @@
 
     /** Sends a request; returns the answer, empty if it is not complete. */
     Optional<StandinCaller.Answer> call(int instance, String path, String id, String headers) {
-        try (StandinCaller caller = new StandinCaller(ports.get(instance))) {
+        try (StandinCaller caller = new StandinCaller(routers.port(instance))) {
             caller.post(path, id, headers);
             return Optional.of(caller.readAnswer());
         } catch (IOException e) {
@@ -163,16 +141,8 @@
 
     @Override
     public void close() {
-        routers.forEach(TrafficRouter::close);
+        routers.close();
         servers.values().forEach(StandinServer::close);
         store.close();
     }
-
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
