Revert "Keep prompts together at upstreams whose limits send part of them away"

The share of kept prompts moves with each request that gets no permit, so that prompts at its edge go back and forth.

--- a/org.cuminspur.test/tst/org/cuminspur/ratelimit/PermitCodecTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/ratelimit/PermitCodecTest.java
@@ -24,9 +24,9 @@
             {new PermitMessage.Limits(List.of(LIMIT, new LimitFact(UPSTREAM, false, 0, 0)))},
             {new PermitMessage.Limits(List.of(new LimitFact(UPSTREAM, true, 0, 0)))},
             {new PermitMessage.Limits(Collections.nCopies(PermitCodec.MAX_LIMITS, LIMIT))},
-            {new PermitMessage.Query(9, UPSTREAM, 0.25, 0.5, true)},
-            {new PermitMessage.Reply(9, true, 0, 1)},
-            {new PermitMessage.Reply(-1, false, 400, 0.25)}
+            {new PermitMessage.Query(9, UPSTREAM, 0.25, true)},
+            {new PermitMessage.Reply(9, true, 0)},
+            {new PermitMessage.Reply(-1, false, 400)}
         };
     }
 
@@ -51,7 +51,7 @@
     @Test
     public void rejectsWhatIsNoRate() {
         for (float rate : new float[] {Float.NaN, -2, Float.POSITIVE_INFINITY, 1e9f}) {
-            ByteBuffer query = PermitCodec.encode(new PermitMessage.Query(1, UPSTREAM, 1, 0, false));
+            ByteBuffer query = PermitCodec.encode(new PermitMessage.Query(1, UPSTREAM, 1, false));
             query.putFloat(1 + Integer.BYTES + Long.BYTES, rate);
             assertEquals(PermitCodec.decode(query), Optional.empty());
         }
--- a/org.cuminspur.test/tst/org/cuminspur/ratelimit/RateLimitsTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/ratelimit/RateLimitsTest.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -20,7 +19,6 @@
 import org.cuminspur.id.ServiceId;
 import org.cuminspur.id.SoftwareVersion;
 import org.cuminspur.id.UpstreamId;
-import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.testing.VirtualTime;
 import org.cuminspur.traffic.FleetView;
 import org.cuminspur.traffic.PeerAddress;
@@ -151,7 +149,7 @@
         UpstreamState upstream = state(FIRST_START);
         List<Boolean> results = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            instance(0).acquire(upstream, OptionalLong.empty(), false, results::add);
+            instance(0).acquire(upstream, false, results::add);
             time.advance(SETTLED_MS / 4);
         }
         assertTrue(results.contains(false));
@@ -160,24 +158,6 @@
         assertEquals(upstream.leftOutMillis(time.nowMillis()), 0);
     }
 
-    @Test
-    public void promptsThatAreNotKeptGetFewPermits() {
-        named(0, RATE);
-        UpstreamState upstream = state(FIRST_START);
-        Map<Boolean, Integer> granted = new HashMap<>(Map.of(true, 0, false, 0));
-        for (int i = 0; i < 1_000; i++) {
-            OptionalLong prompt = OptionalLong.of(Rendezvous.hash("prompt-" + i % 20));
-            boolean low = upstream.promptFraction(prompt) < 0.3;
-            instance(0).recordResponse(upstream, time.nowMillis(), limit(RATE));
-            if (upstream.keepsPrompt(prompt, time.nowMillis())) {
-                instance(0).acquire(upstream, prompt, false, got -> granted.merge(low, got ? 1 : 0, Integer::sum));
-            }
-            time.advance(20);
-        }
-        assertTrue(granted.get(true) > 3 * granted.get(false), granted.toString());
-        assertTrue(granted.get(true) + granted.get(false) > 0.8 * RATE * 20, granted.toString());
-    }
-
     @Test
     public void smallChangesOfALimitAreNotAnnouncedButCount() {
         LimitTable table = new LimitTable();
@@ -195,7 +175,7 @@
 
     private boolean acquire(int instance, boolean bound) {
         List<Boolean> results = new ArrayList<>();
-        instance(instance).acquire(state(FIRST_START), OptionalLong.empty(), bound, results::add);
+        instance(instance).acquire(state(FIRST_START), bound, results::add);
         time.advance(2 * LINK_MS + 1);
         return results.contains(true);
     }
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
@@ -32,10 +32,7 @@
     private static final int MAX_BUCKETS = 4_096;
 
     /** The answer to a query; immutable. */
-    record Permit(boolean granted, long waitMillis, double keptShare) {}
-
-    /** What a request asks for; immutable. */
-    record Demand(UpstreamProcessId upstream, double requestsPerSecond, double promptFraction, boolean bound) {}
+    record Permit(boolean granted, long waitMillis) {}
 
     private record Pending(InstanceId arbiter, Consumer<Permit> result) {}
 
@@ -78,22 +75,20 @@
      *
      * @param result receives the answer at once or within {@link #REPLY_TIMEOUT_MS}
      */
-    void request(Demand demand, Consumer<Permit> result) {
-        InstanceId arbiter = arbiters.arbiterOf(demand.upstream().hash(), this::answers);
+    void request(UpstreamProcessId upstream, double requestsPerSecond, boolean bound, Consumer<Permit> result) {
+        InstanceId arbiter = arbiters.arbiterOf(upstream.hash(), this::answers);
         if (arbiter.equals(self)) {
-            result.accept(decide(demand));
+            result.accept(decide(upstream, requestsPerSecond, bound));
             return;
         }
         int number = queries++;
         pending.put(number, new Pending(arbiter, result));
-        PermitMessage.Query query = new PermitMessage.Query(
-                number, demand.upstream(), demand.requestsPerSecond(), demand.promptFraction(), demand.bound());
-        sender.accept(arbiter, query);
+        sender.accept(arbiter, new PermitMessage.Query(number, upstream, requestsPerSecond, bound));
         timer.schedule(REPLY_TIMEOUT_MS, () -> {
             if (pending.remove(number) != null) {
                 silences.put(
                         arbiter, silences.getOrDefault(arbiter, Silence.NONE).withTimeout(clock.millis()));
-                result.accept(new Permit(false, REPLY_TIMEOUT_MS, 1));
+                result.accept(new Permit(false, REPLY_TIMEOUT_MS));
             }
         });
     }
@@ -104,10 +99,8 @@
      * @param requestsPerSecond the limit as this instance knows it
      */
     void receive(InstanceId from, PermitMessage.Query query, double requestsPerSecond) {
-        Permit permit = decide(new Demand(query.upstream(), requestsPerSecond, query.promptFraction(), query.bound()));
-        PermitMessage.Reply reply = new PermitMessage.Reply(
-                query.number(), permit.granted(), (int) permit.waitMillis(), permit.keptShare());
-        sender.accept(from, reply);
+        Permit permit = decide(query.upstream(), requestsPerSecond, query.bound());
+        sender.accept(from, new PermitMessage.Reply(query.number(), permit.granted(), (int) permit.waitMillis()));
     }
 
     /** Handles the reply to a query; late ones are ignored. */
@@ -116,7 +109,7 @@
         if (query != null && query.arbiter().equals(from)) {
             pending.remove(reply.number());
             silences.remove(from);
-            query.result().accept(new Permit(reply.granted(), reply.waitMillis(), reply.keptShare()));
+            query.result().accept(new Permit(reply.granted(), reply.waitMillis()));
         }
     }
 
@@ -124,14 +117,13 @@
         return silences.getOrDefault(id, Silence.NONE).passOverUntilMillis() <= clock.millis();
     }
 
-    private Permit decide(Demand demand) {
+    private Permit decide(UpstreamProcessId upstream, double requestsPerSecond, boolean bound) {
         long now = clock.millis();
         if (buckets.size() >= MAX_BUCKETS) {
             buckets.values().removeIf(bucket -> now - bucket.filledMillis() > IDLE_MS);
         }
-        PermitBucket bucket = buckets.computeIfAbsent(demand.upstream(), absent -> new PermitBucket(now));
-        boolean granted = bucket.tryTake(demand.requestsPerSecond(), demand.promptFraction(), demand.bound(), now);
-        long waitMillis = granted ? 0 : bucket.waitMillis(demand.requestsPerSecond());
-        return new Permit(granted, waitMillis, bucket.keptShare());
+        PermitBucket bucket = buckets.computeIfAbsent(upstream, absent -> new PermitBucket(now));
+        boolean granted = bucket.tryTake(requestsPerSecond, bound, now);
+        return new Permit(granted, granted ? 0 : bucket.waitMillis(requestsPerSecond));
     }
 }
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitBucket.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitBucket.java
@@ -4,8 +4,6 @@
  * Grants permits at a rate, with a bounded burst; not thread-safe.
  *
  * <p>Within any time, permits are at most the burst and the rate times that time, plus a small reserve for bound requests.
- * Where more is asked for, a share of the prompts is kept and all requests with the others get none, so that each prompt
- * stays at one upstream and its cache.
  */
 final class PermitBucket {
     /** Least rate at which requests are sent to an upstream, by which the end of its limit is noticed. */
@@ -17,19 +15,10 @@
     /** Permits that bound requests may take in advance. */
     private static final double BOUND_RESERVE = 2;
 
-    /** Factor on the share of prompts that is kept, at each request with one of them that gets no permit. */
-    private static final double KEPT_SHARE_DECREASE = 0.9;
-
-    /** Increase of the share at each request that finds the bucket full. */
-    private static final double KEPT_SHARE_INCREASE = 0.05;
-
-    private static final double MIN_KEPT_SHARE = 0.05;
-
     private static final double SECOND_MS = 1_000;
 
     private double permits = 1;
     private long filledMillis;
-    private double keptShare = 1;
 
     /** Creates a bucket with one permit, since another instance may have granted some just before. */
     PermitBucket(long nowMillis) {
@@ -39,21 +28,13 @@
     /**
      * Takes a permit if there is one.
      *
-     * @param promptFraction place of the request's prompt among all prompts, from 0 to 1
      * @param bound whether one may be taken in advance
      */
-    boolean tryTake(double requestsPerSecond, double promptFraction, boolean bound, long nowMillis) {
+    boolean tryTake(double requestsPerSecond, boolean bound, long nowMillis) {
         double rate = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond);
         permits = Math.min(burst(rate), permits + rate * (nowMillis - filledMillis) / SECOND_MS);
         filledMillis = nowMillis;
-        if (permits >= burst(rate)) {
-            keptShare = Math.min(1, keptShare + KEPT_SHARE_INCREASE);
-        }
-        if (!bound && promptFraction >= keptShare) {
-            return false;
-        }
         if (permits < (bound ? 1 - BOUND_RESERVE : 1)) {
-            keptShare = Math.max(MIN_KEPT_SHARE, KEPT_SHARE_DECREASE * keptShare);
             return false;
         }
         permits--;
@@ -66,11 +47,6 @@
         return (long) Math.ceil(Math.max(0, 1 - permits) / rate * SECOND_MS);
     }
 
-    /** Returns the share of prompts that is kept; those from this fraction on get no permit. */
-    double keptShare() {
-        return keptShare;
-    }
-
     long filledMillis() {
         return filledMillis;
     }
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitCodec.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitCodec.java
@@ -9,9 +9,8 @@
  * Encodes messages about the limits of upstreams as datagrams; stateless and thread-safe.
  *
  * <p>A datagram is a byte with the kind. Limits follow as upstream (8 bytes), limit (4 bytes, floating point, negative if
- * none is named) and age in milliseconds (4 bytes) each; a query as number (4 bytes), upstream, limit, fraction of
- * the prompt (4 bytes, floating point) and whether it is bound (1 byte); a reply as number, whether it is granted (1
- * byte), wait in milliseconds (4 bytes) and share of the prompts that is kept (4 bytes, floating point). All in network
+ * none is named) and age in milliseconds (4 bytes) each; a query as number (4 bytes), upstream, limit and whether it is
+ * bound (1 byte); a reply as number, whether it is granted (1 byte) and wait in milliseconds (4 bytes). All in network
  * byte order; datagrams of other kinds or lengths, or with limits that are none, are not decoded.
  */
 public final class PermitCodec {
@@ -26,8 +25,8 @@
     private static final byte LIMITS = 8;
     private static final byte QUERY = 9;
     private static final byte REPLY = 10;
-    private static final int QUERY_BYTES = Integer.BYTES + Long.BYTES + 2 * Float.BYTES + Byte.BYTES;
-    private static final int REPLY_BYTES = Integer.BYTES + Byte.BYTES + Integer.BYTES + Float.BYTES;
+    private static final int QUERY_BYTES = Integer.BYTES + Long.BYTES + Float.BYTES + Byte.BYTES;
+    private static final int REPLY_BYTES = Integer.BYTES + Byte.BYTES + Integer.BYTES;
     private static final float NOT_NAMED = -1;
 
     private PermitCodec() {}
@@ -59,14 +58,12 @@
                     .putInt(query.number())
                     .putLong(query.upstream().hash())
                     .putFloat((float) query.requestsPerSecond())
-                    .putFloat((float) query.promptFraction())
                     .put((byte) (query.bound() ? 1 : 0));
         } else if (message instanceof PermitMessage.Reply reply) {
             datagram.put(REPLY)
                     .putInt(reply.number())
                     .put((byte) (reply.granted() ? 1 : 0))
-                    .putInt(reply.waitMillis())
-                    .putFloat((float) reply.keptShare());
+                    .putInt(reply.waitMillis());
         }
         return datagram.flip();
     }
@@ -81,7 +78,11 @@
         return switch (kind) {
             case LIMITS -> left > 0 && left % LIMIT_BYTES == 0 ? decodeLimits(datagram) : Optional.empty();
             case QUERY -> left == QUERY_BYTES ? decodeQuery(datagram) : Optional.empty();
-            case REPLY -> left == REPLY_BYTES ? decodeReply(datagram) : Optional.empty();
+            case REPLY ->
+                left == REPLY_BYTES
+                        ? Optional.of(new PermitMessage.Reply(
+                                datagram.getInt(), datagram.get() == 1, Math.max(0, datagram.getInt())))
+                        : Optional.empty();
             default -> Optional.empty();
         };
     }
@@ -101,24 +102,8 @@
 
     private static Optional<PermitMessage> decodeQuery(ByteBuffer datagram) {
         PermitMessage.Query query = new PermitMessage.Query(
-                datagram.getInt(),
-                new UpstreamProcessId(datagram.getLong()),
-                datagram.getFloat(),
-                datagram.getFloat(),
-                datagram.get() == 1);
-        return isRate(query.requestsPerSecond()) && isShare(query.promptFraction())
-                ? Optional.of(query)
-                : Optional.empty();
-    }
-
-    private static Optional<PermitMessage> decodeReply(ByteBuffer datagram) {
-        PermitMessage.Reply reply = new PermitMessage.Reply(
-                datagram.getInt(), datagram.get() == 1, Math.max(0, datagram.getInt()), datagram.getFloat());
-        return isShare(reply.keptShare()) ? Optional.of(reply) : Optional.empty();
-    }
-
-    private static boolean isShare(double value) {
-        return value >= 0 && value <= 1;
+                datagram.getInt(), new UpstreamProcessId(datagram.getLong()), datagram.getFloat(), datagram.get() == 1);
+        return isRate(query.requestsPerSecond()) ? Optional.of(query) : Optional.empty();
     }
 
     private static boolean isRate(double requestsPerSecond) {
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitMessage.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitMessage.java
@@ -16,17 +16,15 @@
      *
      * @param number tells the queries of an instance apart
      * @param requestsPerSecond the limit as the sender knows it
-     * @param promptFraction place of the request's prompt among all prompts at this upstream, from 0 to 1
      * @param bound whether the request can go to few other upstreams or to none
      */
-    record Query(int number, UpstreamProcessId upstream, double requestsPerSecond, double promptFraction, boolean bound)
+    record Query(int number, UpstreamProcessId upstream, double requestsPerSecond, boolean bound)
             implements PermitMessage {}
 
     /**
      * Answers a query.
      *
      * @param waitMillis if it is not granted, the time until the next permit
-     * @param keptShare share of the prompts that the upstream keeps; those from this fraction on get no permit
      */
-    record Reply(int number, boolean granted, int waitMillis, double keptShare) implements PermitMessage {}
+    record Reply(int number, boolean granted, int waitMillis) implements PermitMessage {}
 }
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitPlacement.java
@@ -57,7 +57,7 @@
             return;
         }
         UpstreamState upstream = chosen.get().upstream();
-        limits.acquire(upstream, criteria.sharedPrefixKey(), criteria.version().isPresent(), granted -> {
+        limits.acquire(upstream, criteria.version().isPresent(), granted -> {
             boolean current = service.get().contains(upstream) && upstream.mayTakeRequest(clock.millis());
             if (granted && current) {
                 result.accept(chosen);
--- a/org.cuminspur/src/org/cuminspur/ratelimit/RateLimits.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/RateLimits.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
 import org.cuminspur.id.InstanceId;
@@ -24,9 +23,6 @@
     /** Longest time for which an upstream is left out after a permit was not granted, so that the end is noticed. */
     static final long MAX_DENIAL_MS = 500;
 
-    /** How long an upstream keeps a share of the prompts before it is asked again. */
-    static final long KEPT_SHARE_MS = 1_000;
-
     /** Sends messages to other instances, perhaps in vain. */
     public interface Host {
         void send(InstanceId to, PermitMessage message);
@@ -92,22 +88,16 @@
     /**
      * Asks whether a request may be sent to an upstream now.
      *
-     * @param prompt key of the shared parts of its prompt, if it has any
      * @param bound whether it can go to few other upstreams or to none
      * @param result receives the answer at once or soon; if it is negative, the upstream is left out for a moment
      */
-    public void acquire(UpstreamState upstream, OptionalLong prompt, boolean bound, Consumer<Boolean> result) {
+    public void acquire(UpstreamState upstream, boolean bound, Consumer<Boolean> result) {
         OptionalDouble limit = limitOf(upstream);
         if (limit.isEmpty()) {
             result.accept(true);
             return;
         }
-        // A request that has no upstream which keeps its prompt may go to any.
-        double fraction = upstream.keepsPrompt(prompt, clock.millis()) ? upstream.promptFraction(prompt) : 0;
-        PermitArbiter.Demand demand =
-                new PermitArbiter.Demand(UpstreamProcessId.of(upstream.entry()), limit.getAsDouble(), fraction, bound);
-        permits.request(demand, permit -> {
-            upstream.keepShareOfPrompts(permit.keptShare(), clock.millis() + KEPT_SHARE_MS);
+        permits.request(UpstreamProcessId.of(upstream.entry()), limit.getAsDouble(), bound, permit -> {
             if (!permit.granted()) {
                 upstream.leaveOutUntil(clock.millis() + Math.min(MAX_DENIAL_MS, permit.waitMillis()));
             }
--- a/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/PromptPlacement.java
@@ -87,7 +87,10 @@
 
     /** Returns the upstream to send a request to, empty if none may accept it now. */
     public Optional<PlacementDecision> choose(List<UpstreamState> service, Criteria criteria, long nowMillis) {
-        List<UpstreamState> available = available(service, criteria, nowMillis);
+        List<UpstreamState> available = service.stream()
+                .filter(state -> state.mayTakeRequest(nowMillis) && criteria.allows(state))
+                .filter(state -> state.leftOutMillis(nowMillis) == 0)
+                .toList();
         double meanFailureRate = available.stream()
                 .mapToDouble(state -> state.health().failureRate())
                 .average()
@@ -122,24 +125,11 @@
         Optional<UpstreamState> cacheSource = findCacheSource(service, chosen, criteria, nowMillis);
         return Optional.of(new PlacementDecision(
                 chosen,
-                reason(preferred, chosen, criteria, meanFailureRate, nowMillis),
+                reason(preferred, chosen, meanFailureRate, nowMillis),
                 cacheSource,
                 estimate(chosen, loads, nowMillis)));
     }
 
-    /** Returns the upstreams that may take a request now; those whose limits keep other prompts only if there is no other. */
-    private static List<UpstreamState> available(List<UpstreamState> service, Criteria criteria, long nowMillis) {
-        List<UpstreamState> open = service.stream()
-                .filter(state -> state.mayTakeRequest(nowMillis) && criteria.allows(state))
-                .filter(state -> state.leftOutMillis(nowMillis) == 0)
-                .toList();
-        return firstNonEmpty(
-                open.stream()
-                        .filter(state -> state.keepsPrompt(criteria.sharedPrefixKey(), nowMillis))
-                        .toList(),
-                open);
-    }
-
     /** Returns the load above which an upstream of a service gets no requests with shared prompts. */
     public double loadLimit(List<UpstreamState> service, long nowMillis) {
         return limit(new LoadEstimates(service, nowMillis));
@@ -187,22 +177,17 @@
     }
 
     private static PlacementDecision.Reason reason(
-            UpstreamState preferred, UpstreamState chosen, Criteria criteria, double meanFailureRate, long nowMillis) {
+            UpstreamState preferred, UpstreamState chosen, double meanFailureRate, long nowMillis) {
         if (preferred == chosen) {
             return PlacementDecision.Reason.PROMPT;
         } else if (!healthy(preferred, meanFailureRate, nowMillis)) {
             return PlacementDecision.Reason.SPILL_UNSOUND;
         }
-        return preferred.withinRateLimit(nowMillis) && !leftOut(preferred, criteria, nowMillis)
+        return preferred.withinRateLimit(nowMillis) && preferred.leftOutMillis(nowMillis) == 0
                 ? PlacementDecision.Reason.SPILL_LOAD
                 : PlacementDecision.Reason.SPILL_RATE;
     }
 
-    /** Returns whether an upstream's limit leaves a request out now. */
-    private static boolean leftOut(UpstreamState state, Criteria criteria, long nowMillis) {
-        return state.leftOutMillis(nowMillis) > 0 || !state.keepsPrompt(criteria.sharedPrefixKey(), nowMillis);
-    }
-
     /** Returns the load that no upstream should exceed. */
     private double bound(LoadEstimates loads) {
         return loadFactor * loads.mean() + LOAD_SLACK;
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -29,9 +29,6 @@
     /** Time in which a restart, during which connections are refused, shows in the upstream's entry. */
     private static final long RESTART_VISIBLE_MS = 5_000;
 
-    /** Makes the place of a prompt independent of its rendezvous order. */
-    private static final long FRACTION_SEED = 0x5DEECE66DL;
-
     private static final long SECOND_MS = 1_000;
     private static final int INITIAL_CAPACITY = 16;
 
@@ -54,8 +51,6 @@
     private long unreachableMillis = Long.MIN_VALUE;
     private Optional<NamedLimit> namedLimit = Optional.empty();
     private long leftOutUntilMillis = Long.MIN_VALUE / 2;
-    private double keptShare = 1;
-    private long keptShareUntilMillis = Long.MIN_VALUE;
 
     UpstreamState(UpstreamEntry entry, long nowMillis) {
         this.entry = entry;
@@ -97,24 +92,6 @@
         return Math.max(0, leftOutUntilMillis - nowMillis);
     }
 
-    /** Lets it take requests with a share of the prompts only, until a time. */
-    public void keepShareOfPrompts(double share, long untilMillis) {
-        keptShare = share;
-        keptShareUntilMillis = untilMillis;
-    }
-
-    /** Returns whether it takes requests with a prompt; always true for a request without one. */
-    public boolean keepsPrompt(OptionalLong prompt, long nowMillis) {
-        return prompt.isEmpty() || nowMillis >= keptShareUntilMillis || promptFraction(prompt) < keptShare;
-    }
-
-    /** Returns the place of a prompt among all prompts here, from 0 to 1; equal on all instances, 0 without a prompt. */
-    public double promptFraction(OptionalLong prompt) {
-        return prompt.isEmpty()
-                ? 0
-                : Rendezvous.toUnitInterval(Rendezvous.mix(hash, Rendezvous.mix(FRACTION_SEED, prompt.getAsLong())));
-    }
-
     /** Returns whether it may take new work by its entry, its failure domain and, while it is cold, its rate share. */
     public boolean mayTakeRequest(long nowMillis) {
         return acceptsNewWork() && withinColdRateLimit(nowMillis);
