Do not forget a late answer for an earlier one that another instance saw

An instance that was told of a part cleared some time ago replaced its own, later answer by that time, and could accuse a part that it had just answered. Found in reading; AnsweredPartsTest.olderAnswerDoesNotReplaceALaterOne failed before.

--- /dev/null
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/AnsweredPartsTest.java
@@ -0,0 +1,32 @@
+package org.cuminspur.quarantine;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.cuminspur.id.PromptPartId;
+import org.testng.annotations.Test;
+
+/** Checks for how long an answer speaks for a part. */
+public class AnsweredPartsTest {
+    private static final PromptPartId PART = new PromptPartId(1);
+    private static final long NOW_MS = 100_000;
+
+    private final AnsweredParts answered = new AnsweredParts();
+
+    @Test
+    public void answerSpeaksForLaterMomentsForAWhile() {
+        answered.record(PART, NOW_MS);
+        assertTrue(answered.speaksFor(PART, NOW_MS + AnsweredParts.RETENTION_MS));
+        assertFalse(answered.speaksFor(PART, NOW_MS + AnsweredParts.RETENTION_MS + 1));
+        assertTrue(answered.speaksFor(PART, NOW_MS - 1));
+        assertFalse(answered.speaksFor(new PromptPartId(2), NOW_MS));
+    }
+
+    @Test
+    public void olderAnswerDoesNotReplaceALaterOne() {
+        PromptPartId part = new PromptPartId(3);
+        answered.record(part, NOW_MS);
+        answered.record(part, NOW_MS - AnsweredParts.RETENTION_MS);
+        assertTrue(answered.speaksFor(part, NOW_MS + AnsweredParts.RETENTION_MS));
+    }
+}
--- a/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
@@ -13,10 +13,15 @@
 
     private final Map<PromptPartId, Long> answeredMillis = new LinkedHashMap<>();
 
-    void record(PromptPartId part, long nowMillis) {
+    /** Records an answer now or, as another instance says, some time ago. */
+    void record(PromptPartId part, long atMillis) {
+        Long known = answeredMillis.get(part);
+        if (known != null && known >= atMillis) {
+            return;
+        }
         answeredMillis.remove(part);
-        answeredMillis.put(part, nowMillis);
-        while (answeredMillis.size() > MAX_PARTS || oldestMillis() < nowMillis - RETENTION_MS) {
+        answeredMillis.put(part, atMillis);
+        while (answeredMillis.size() > MAX_PARTS || oldestMillis() < atMillis - RETENTION_MS) {
             answeredMillis.remove(answeredMillis.keySet().iterator().next());
         }
     }
