Let an objection speak for its crash only, and an answer from its begin

An instance that was told of an objection took the part as answered at the time of the crash. An objection now settles the requests that wait for it and the crash that it is about. An answer speaks from its first byte, not from its last.

Tried and left: 2, 3 and 4 s instead of 10, which held sound parts back for long where all upstreams were down at a time.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
@@ -99,9 +99,9 @@
 
     /** Records that a successful response went on for a while, or was complete. */
     void answered() {
-        if (!proven) {
+        if (!proven && bodyStartedMillis >= 0) {
             proven = true;
-            context.promptGuard().recordAnswered(sharedParts);
+            context.promptGuard().recordAnswered(sharedParts, bodyStartedMillis);
         }
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PromptGuard.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PromptGuard.java
@@ -94,9 +94,9 @@
         unanswered.remove(request);
     }
 
-    /** Records that a successful response went on for a while, or was complete. */
-    void recordAnswered(List<PromptPartId> sharedParts) {
-        quarantine.recordAnswered(sharedParts);
+    /** Records that a successful response that began at a time went on for a while, or was complete. */
+    void recordAnswered(List<PromptPartId> sharedParts, long beganMillis) {
+        quarantine.recordAnswered(sharedParts, beganMillis);
     }
 
     /** Records a request whose connection broke, and finds out whether it may be sent to another upstream. */
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashFleet.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashFleet.java
@@ -10,6 +10,7 @@
  * @param flappingUpstreams upstreams that end and start again all the time
  * @param brokenShare share of requests whose connection breaks although their upstream goes on
  * @param messageLoss share of messages between instances that are lost
+ * @param soundBefore whether requests with the part are sound until others crash upstreams
  */
 record CrashFleet(
         int instances,
@@ -20,7 +21,8 @@
         double ordinaryCrashesPerSecond,
         int flappingUpstreams,
         double brokenShare,
-        double messageLoss) {
+        double messageLoss,
+        boolean soundBefore) {
     /** Returns this fleet with another rate of requests that crash upstreams. */
     CrashFleet withCrashing(double perSecond) {
         return new CrashFleet(
@@ -32,6 +34,7 @@
                 ordinaryCrashesPerSecond,
                 flappingUpstreams,
                 brokenShare,
-                messageLoss);
+                messageLoss,
+                soundBefore);
     }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashPolicy.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/CrashPolicy.java
@@ -12,7 +12,7 @@
     void admit(List<PromptPartId> parts, Consumer<Admission> result);
 
     /** Records that a response went on for a while or was complete. */
-    default void answered(List<PromptPartId> parts) {}
+    default void answered(List<PromptPartId> parts, long beganMillis) {}
 
     /** Decides whether a request whose connection broke without an event may be sent to another upstream. */
     void broken(UpstreamState upstream, BrokenRequest request, Consumer<Boolean> result);
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/NaiveCrashPolicies.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/NaiveCrashPolicies.java
@@ -85,7 +85,7 @@
             }
 
             @Override
-            public void answered(List<PromptPartId> parts) {
+            public void answered(List<PromptPartId> parts, long beganMillis) {
                 if (clears) {
                     blocks.cleared.addAll(blocks.hashes.apply(parts));
                 }
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashSimulation.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashSimulation.java
@@ -32,6 +32,10 @@
     private static final int FIRST_PARTS = 4;
     private static final int SECOND_PARTS = 40;
     private static final double RARE_SHARE = 0.02;
+
+    /** Share of sound requests with the part that crashes upstreams later. */
+    private static final double TURNING_SHARE = 0.1;
+
     private static final int MAX_VIEW_DELAY_MS = 1_000;
     private static final int MAX_LINK_DELAY_MS = 3;
     private static final int MAX_MESSAGE_DELAY_MS = 20;
@@ -204,6 +208,14 @@
         PromptPartId first = firstPart(random.nextInt(FIRST_PARTS));
         // Squared, so that some parts are seen seldom.
         PromptPartId second = rare ? rarePart(rareParts++ / 4) : secondPart((int) (SECOND_PARTS * square()));
+        boolean turning = fleet.soundBefore() && checker.crashes() == 0 && !crashingCome;
+        if (turning && random.nextDouble() < TURNING_SHARE) {
+            second = CRASHING;
+        }
+        sendSound(first, second);
+    }
+
+    private void sendSound(PromptPartId first, PromptPartId second) {
         boolean judged = first.equals(firstPart(0));
         long sentMillis = time.nowMillis();
         boolean meanwhile = crashingCome;
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/QuarantinePolicy.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/QuarantinePolicy.java
@@ -70,8 +70,8 @@
     }
 
     @Override
-    public void answered(List<PromptPartId> parts) {
-        quarantine.recordAnswered(parts);
+    public void answered(List<PromptPartId> parts, long beganMillis) {
+        quarantine.recordAnswered(parts, beganMillis);
     }
 
     @Override
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/SimulatedInstance.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/SimulatedInstance.java
@@ -138,7 +138,7 @@
     /** Handles the end of a complete response. */
     void completed(SimulatedAttempt attempt) {
         end(attempt);
-        policy.answered(attempt.parts);
+        policy.answered(attempt.parts, attempt.firstEventMillis);
     }
 
     /** Handles the loss of the connection. */
--- a/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
@@ -6,14 +6,14 @@
 
 /** Remembers when requests with each part of a prompt were answered last; not thread-safe, of bounded size. */
 final class AnsweredParts {
-    /** How long an answer speaks for a part. */
+    /** How long an answer speaks for a part; one that turns bad is not accused before. */
     static final long RETENTION_MS = 10_000;
 
     private static final int MAX_PARTS = 16_384;
 
     private final Map<PromptPartId, Long> answeredMillis = new LinkedHashMap<>();
 
-    /** Records an answer now or, as another instance says, some time ago. */
+    /** Records an answer by the time at which it began. */
     void record(PromptPartId part, long atMillis) {
         Long known = answeredMillis.get(part);
         if (known != null && known >= atMillis) {
--- a/org.cuminspur/src/org/cuminspur/quarantine/CrashEvidence.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/CrashEvidence.java
@@ -58,11 +58,11 @@
         return changed;
     }
 
-    /** Clears a part of all crashes; returns the facts that changed. */
-    List<PartCrash> clear(PromptPartId part, long nowMillis) {
+    /** Clears a part of all crashes for which an answer speaks; returns the facts that changed. */
+    List<PartCrash> clear(PromptPartId part, long answeredMillis, long nowMillis) {
         List<PartCrash> changed = new ArrayList<>();
         crashes.getOrDefault(part, Map.of()).forEach((id, crash) -> {
-            if (!crash.cleared) {
+            if (!crash.cleared && answeredMillis >= crash.atMillis - AnsweredParts.RETENTION_MS) {
                 crash.cleared = true;
                 changed.add(fact(part, id, crash, nowMillis));
             }
@@ -79,6 +79,14 @@
         return known != null && known.cleared;
     }
 
+    /** Returns whether the last crash that a part was accused of is known not to be its doing. */
+    boolean isLastCleared(PromptPartId part) {
+        return crashes.getOrDefault(part, Map.of()).values().stream()
+                .max(Comparator.comparingLong(crash -> crash.atMillis))
+                .map(crash -> crash.cleared)
+                .orElse(false);
+    }
+
     /** Returns the number of crashes that count against a part now. */
     int count(PromptPartId part, long nowMillis) {
         return (int) standing(part)
--- a/org.cuminspur/src/org/cuminspur/quarantine/PromptQuarantine.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/PromptQuarantine.java
@@ -134,19 +134,23 @@
         return isQuarantined(part, clock.millis());
     }
 
-    /** Returns whether requests with each of these parts were answered lately at an instance that said so. */
+    /** Returns whether requests with each of these parts were answered here lately, or at instances that objected. */
     public boolean areAnswered(List<PromptPartId> parts) {
         long now = clock.millis();
-        return parts.stream().allMatch(part -> answered.speaksFor(part, now));
+        return parts.stream().allMatch(part -> answered.speaksFor(part, now) || evidence.isLastCleared(part));
     }
 
-    /** Records that a response with the parts in its prompt went on for a while, or was complete. */
-    public void recordAnswered(List<PromptPartId> parts) {
+    /**
+     * Records that a response with the parts in its prompt went on for a while, or was complete.
+     *
+     * @param beganMillis when its first byte arrived; a part may have turned bad since
+     */
+    public void recordAnswered(List<PromptPartId> parts, long beganMillis) {
         long now = clock.millis();
-        parts.forEach(part -> answered.record(part, now));
+        parts.forEach(part -> answered.record(part, beganMillis));
         List<PartCrash> cleared = parts.stream()
                 .filter(evidence::isSuspect)
-                .flatMap(part -> evidence.clear(part, now).stream())
+                .flatMap(part -> evidence.clear(part, beganMillis, now).stream())
                 .toList();
         if (!cleared.isEmpty()) {
             gossip.announce(cleared);
@@ -220,9 +224,7 @@
             boolean clears = fact.cleared() || answered.speaksFor(fact.part(), now - fact.ageMillis());
             evidence.add(new PartCrash(fact.part(), fact.crash(), fact.ageMillis(), clears), now);
             PartCrash cleared = new PartCrash(fact.part(), fact.crash(), fact.ageMillis(), true);
-            if (fact.cleared()) {
-                answered.record(fact.part(), now - Math.min(fact.ageMillis(), AnsweredParts.RETENTION_MS));
-            } else if (evidence.isCleared(fact.part(), fact.crash())) {
+            if (!fact.cleared() && evidence.isCleared(fact.part(), fact.crash())) {
                 objections.add(cleared);
             }
             if (fact.cleared() && accusations.remove(new Accusation(fact.part(), fact.crash()))) {
