--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashChecker.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashChecker.java
@@ -1,5 +1,8 @@
 package org.cuminspur.quarantine;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Counts what must hold while requests with one part crash upstreams; not thread-safe.
  *
@@ -18,6 +21,9 @@
     /** Least share of sound requests that begin, of the share before. */
     private static final double MIN_SHARE = 0.5;
 
+    /** A sound request that was sent while requests with the part come. */
+    private record Judged(long sentMillis, boolean begun) {}
+
     /** Requests that were sent, and those that began at their first attempt. */
     private static final class Share {
         private int sent;
@@ -30,7 +36,7 @@
 
     private final long contactMillis;
     private final Share before = new Share();
-    private final Share meanwhile = new Share();
+    private final List<Judged> meanwhile = new ArrayList<>();
     private int crashes;
     private int lateSends;
     private long lastCrashMillis = Long.MAX_VALUE;
@@ -66,10 +72,7 @@
 
     /** Counts one that was sent while requests with the part come. */
     void recordMeanwhile(long sentMillis, boolean begun) {
-        if (lastCrashMillis != Long.MAX_VALUE && sentMillis > lastCrashMillis + 2 * contactMillis) {
-            meanwhile.sent++;
-            meanwhile.begun += begun ? 1 : 0;
-        }
+        meanwhile.add(new Judged(sentMillis, begun));
     }
 
     int crashes() {
@@ -83,17 +86,29 @@
 
     /** Returns whether enough sound requests came to judge them. */
     boolean judged() {
-        return before.sent >= MIN_JUDGED && meanwhile.sent >= MIN_JUDGED;
+        return before.sent >= MIN_JUDGED && judgedMeanwhile().sent >= MIN_JUDGED;
     }
 
     /** Returns whether sound requests begin. */
     boolean soundRequestsBegin() {
-        return meanwhile.value() >= MIN_SHARE * before.value();
+        return judgedMeanwhile().value() >= MIN_SHARE * before.value();
+    }
+
+    /** Returns the requests from a while after the last crash that counts, which is known at the end only. */
+    private Share judgedMeanwhile() {
+        Share share = new Share();
+        meanwhile.stream()
+                .filter(request -> crashes > 0 && request.sentMillis() > lastCrashMillis + 2 * contactMillis)
+                .forEach(request -> {
+                    share.sent++;
+                    share.begun += request.begun() ? 1 : 0;
+                });
+        return share;
     }
 
     @Override
     public String toString() {
         return crashes + " upstreams ended, " + lateSends + " late sends; sound requests begun: before " + before.begun
-                + " of " + before.sent + ", meanwhile " + meanwhile.begun + " of " + meanwhile.sent;
+                + " of " + before.sent + ", meanwhile " + judgedMeanwhile().begun + " of " + judgedMeanwhile().sent;
     }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashSimulation.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptCrashSimulation.java
@@ -28,10 +28,14 @@
     /** The part that crashes upstreams. */
     static final PromptPartId CRASHING = part("crashing");
 
+    /** A sound part that only requests in progress at upstreams that end have. */
+    private static final PromptPartId SOUND = part("sound");
+
     private static final long START_MS = 1_000_000;
     private static final int FIRST_PARTS = 4;
     private static final int SECOND_PARTS = 40;
     private static final double RARE_SHARE = 0.02;
+    private static final int REQUESTS_PER_RARE_PART = 4;
 
     /** Share of sound requests with the part that crashes upstreams later. */
     private static final double TURNING_SHARE = 0.1;
@@ -44,6 +48,10 @@
     private static final int MIN_REST_MS = 100;
     private static final int REST_SPREAD_MS = 2_000;
     private static final long RETRY_MS = 300;
+
+    /** Time in which a crash is proved, and instances object or agree. */
+    private static final long SETTLED_MS = 500;
+
     private static final long INSTANCE_DOWN_MS = 1_000;
     private static final long FLAP_MS = 1_500;
     private static final double SECOND_MS = 1_000;
@@ -101,6 +109,17 @@
         crashingCome = come;
     }
 
+    /** Ends two upstreams while a request with the same sound part waits there for its answer. */
+    void crashUpstreamsOfSoundPart() {
+        for (int i = 0; i < 2; i++) {
+            SimulatedAttempt attempt = new SimulatedAttempt(List.of(firstPart(0), SOUND), false, begun -> {});
+            call(attempt);
+            time.advance(MAX_LINK_DELAY_MS + MIN_FIRST_EVENT_MS / 2);
+            crash(upstreams.find(attempt.upstream.id()));
+            time.advance(SETTLED_MS);
+        }
+    }
+
     /** Kills an instance, which starts again without any memory. */
     void killInstance() {
         InstanceId id = ids.get(random.nextInt(ids.size()));
@@ -207,7 +226,8 @@
         boolean rare = random.nextDouble() < RARE_SHARE;
         PromptPartId first = firstPart(random.nextInt(FIRST_PARTS));
         // Squared, so that some parts are seen seldom.
-        PromptPartId second = rare ? rarePart(rareParts++ / 4) : secondPart((int) (SECOND_PARTS * square()));
+        PromptPartId second =
+                rare ? rarePart(rareParts++ / REQUESTS_PER_RARE_PART) : secondPart((int) (SECOND_PARTS * square()));
         boolean turning = fleet.soundBefore() && checker.crashes() == 0 && !crashingCome;
         if (turning && random.nextDouble() < TURNING_SHARE) {
             second = CRASHING;
@@ -320,6 +340,7 @@
 
     private Stream<PromptPartId> soundParts() {
         return Stream.of(
+                        Stream.of(SOUND),
                         IntStream.range(0, FIRST_PARTS).mapToObj(PromptCrashSimulation::firstPart),
                         IntStream.range(0, SECOND_PARTS).mapToObj(PromptCrashSimulation::secondPart),
                         IntStream.range(0, rareParts).mapToObj(PromptCrashSimulation::rarePart))
