--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
@@ -14,17 +14,17 @@
  * Grants permits to send requests to upstreams with limits, for the whole fleet, and asks for them.
  *
  * <p>Not thread-safe; confined to the traffic thread. One instance grants all permits of an upstream. If it does not
- * answer, the request gets none, and for a while the next instance in the order is asked.
+ * answer, the request gets none; after some timeouts the next instance in the order is asked for a while.
  */
 final class PermitArbiter {
     /** Longest wait for an answer; a round trip between failure domains, and the pauses of a small machine. */
     static final long REPLY_TIMEOUT_MS = 40;
 
-    /** Consecutive queries without an answer after which an instance is passed over; single messages may be lost. */
-    static final int PASS_OVER_TIMEOUTS = 3;
+    /** Consecutive timeouts after which an instance is skipped; single messages may be lost. */
+    static final int MAX_TIMEOUTS = 3;
 
-    /** Time in which an instance that does not answer is passed over. */
-    static final long PASS_OVER_MS = 2_000;
+    /** Time in which an instance that does not answer is skipped. */
+    static final long SKIP_MS = 2_000;
 
     /** Time after which a bucket that nobody asks for is forgotten; it is full by then. */
     private static final long IDLE_MS = 10_000;
@@ -36,14 +36,14 @@
 
     private record Pending(InstanceId arbiter, Consumer<Permit> result) {}
 
-    /** Queries in a row that an instance has not answered, and the time until which it is passed over; immutable. */
-    private record Silence(int timeouts, long passOverUntilMillis) {
-        private static final Silence NONE = new Silence(0, Long.MIN_VALUE);
+    /** Consecutive timeouts of an instance, and the time until which it is skipped; immutable. */
+    private record Timeouts(int count, long skippedUntilMillis) {
+        private static final Timeouts NONE = new Timeouts(0, Long.MIN_VALUE);
 
-        Silence withTimeout(long nowMillis) {
-            return timeouts + 1 < PASS_OVER_TIMEOUTS
-                    ? new Silence(timeouts + 1, passOverUntilMillis)
-                    : new Silence(0, nowMillis + PASS_OVER_MS);
+        Timeouts withTimeout(long nowMillis) {
+            return count + 1 < MAX_TIMEOUTS
+                    ? new Timeouts(count + 1, skippedUntilMillis)
+                    : new Timeouts(0, nowMillis + SKIP_MS);
         }
     }
 
@@ -54,7 +54,7 @@
     private final ArbiterDirectory arbiters;
     private final Map<UpstreamProcessId, PermitBucket> buckets = new HashMap<>();
     private final Map<Integer, Pending> pending = new HashMap<>();
-    private final Map<InstanceId, Silence> silences = new HashMap<>();
+    private final Map<InstanceId, Timeouts> timeouts = new HashMap<>();
     private int queries;
 
     PermitArbiter(InstanceId self, Clock clock, Timer timer, BiConsumer<InstanceId, PermitMessage> sender) {
@@ -67,7 +67,7 @@
 
     void update(FleetView view) {
         arbiters.update(view);
-        silences.keySet().retainAll(view.peers().keySet());
+        timeouts.keySet().retainAll(view.peers().keySet());
     }
 
     /**
@@ -86,8 +86,8 @@
         sender.accept(arbiter, new PermitMessage.Query(number, upstream, requestsPerSecond, bound));
         timer.schedule(REPLY_TIMEOUT_MS, () -> {
             if (pending.remove(number) != null) {
-                silences.put(
-                        arbiter, silences.getOrDefault(arbiter, Silence.NONE).withTimeout(clock.millis()));
+                timeouts.put(
+                        arbiter, timeouts.getOrDefault(arbiter, Timeouts.NONE).withTimeout(clock.millis()));
                 result.accept(new Permit(false, REPLY_TIMEOUT_MS));
             }
         });
@@ -108,13 +108,13 @@
         Pending query = pending.get(reply.number());
         if (query != null && query.arbiter().equals(from)) {
             pending.remove(reply.number());
-            silences.remove(from);
+            timeouts.remove(from);
             query.result().accept(new Permit(reply.granted(), reply.waitMillis()));
         }
     }
 
     private boolean answers(InstanceId id) {
-        return silences.getOrDefault(id, Silence.NONE).passOverUntilMillis() <= clock.millis();
+        return timeouts.getOrDefault(id, Timeouts.NONE).skippedUntilMillis() <= clock.millis();
     }
 
     private Permit decide(UpstreamProcessId upstream, double requestsPerSecond, boolean bound) {
