--- a/org.cuminspur.test/tst/org/cuminspur/ratelimit/PermitCodecTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/ratelimit/PermitCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import org.cuminspur.traffic.UpstreamProcessId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/org.cuminspur.test/tst/org/cuminspur/ratelimit/RateLimitsTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/ratelimit/RateLimitsTest.java
@@ -25,6 +25,7 @@
 import org.cuminspur.traffic.TrafficBounds;
 import org.cuminspur.traffic.UpstreamEntry;
 import org.cuminspur.traffic.UpstreamPool;
+import org.cuminspur.traffic.UpstreamProcessId;
 import org.cuminspur.traffic.UpstreamState;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/org.cuminspur/src/org/cuminspur/ratelimit/LimitFact.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/LimitFact.java
@@ -1,5 +1,7 @@
 package org.cuminspur.ratelimit;
 
+import org.cuminspur.traffic.UpstreamProcessId;
+
 /**
  * What a response of an upstream said of its limit; immutable.
  *
--- a/org.cuminspur/src/org/cuminspur/ratelimit/LimitTable.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/LimitTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * The limits that upstreams name, as far as an instance knows.
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitArbiter.java
@@ -9,6 +9,7 @@
 import org.cuminspur.time.Timer;
 import org.cuminspur.traffic.ArbiterDirectory;
 import org.cuminspur.traffic.FleetView;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * Grants permits to send requests to upstreams with limits, for the whole fleet, and asks for them.
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitCodec.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * Encodes messages about the limits of upstreams as datagrams; stateless and thread-safe.
--- a/org.cuminspur/src/org/cuminspur/ratelimit/PermitMessage.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/PermitMessage.java
@@ -1,6 +1,7 @@
 package org.cuminspur.ratelimit;
 
 import java.util.List;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /** A message between instances about the limits of upstreams; each kind is an immutable record. */
 public sealed interface PermitMessage {
--- a/org.cuminspur/src/org/cuminspur/ratelimit/RateLimits.java
+++ b/org.cuminspur/src/org/cuminspur/ratelimit/RateLimits.java
@@ -10,6 +10,7 @@
 import org.cuminspur.time.Timer;
 import org.cuminspur.traffic.FactGossip;
 import org.cuminspur.traffic.FleetView;
+import org.cuminspur.traffic.UpstreamProcessId;
 import org.cuminspur.traffic.UpstreamState;
 
 /**
--- a/org.cuminspur/src/org/cuminspur/ratelimit/UpstreamProcessId.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamProcessId.java
@@ -1,7 +1,6 @@
-package org.cuminspur.ratelimit;
+package org.cuminspur.traffic;
 
 import org.cuminspur.internal.hash.Rendezvous;
-import org.cuminspur.traffic.UpstreamEntry;
 
 /**
  * Names one start of an upstream's process by a hash of its id and start.
