Name what ended by the id of its process, and what an answer clears

A crash was a bare number; it is the id of the process, as the limits have it, instead of a second computation of the same hash. AnsweredParts.clears instead of speaksFor. An unused method goes. Without a change of behaviour.

--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/AnsweredPartsTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/AnsweredPartsTest.java
@@ -6,7 +6,7 @@
 import org.cuminspur.id.PromptPartId;
 import org.testng.annotations.Test;
 
-/** Checks for how long an answer speaks for a part. */
+/** Checks which crashes an answer clears a part of. */
 public class AnsweredPartsTest {
     private static final PromptPartId PART = new PromptPartId(1);
     private static final long NOW_MS = 100_000;
@@ -14,12 +14,12 @@
     private final AnsweredParts answered = new AnsweredParts();
 
     @Test
-    public void answerSpeaksForLaterMomentsForAWhile() {
+    public void answerClearsOfCrashesBeforeItAndForAWhileAfterIt() {
         answered.record(PART, NOW_MS);
-        assertTrue(answered.speaksFor(PART, NOW_MS + AnsweredParts.RETENTION_MS));
-        assertFalse(answered.speaksFor(PART, NOW_MS + AnsweredParts.RETENTION_MS + 1));
-        assertTrue(answered.speaksFor(PART, NOW_MS - 1));
-        assertFalse(answered.speaksFor(new PromptPartId(2), NOW_MS));
+        assertTrue(answered.clears(PART, NOW_MS + AnsweredParts.RETENTION_MS));
+        assertFalse(answered.clears(PART, NOW_MS + AnsweredParts.RETENTION_MS + 1));
+        assertTrue(answered.clears(PART, NOW_MS - 1));
+        assertFalse(answered.clears(new PromptPartId(2), NOW_MS));
     }
 
     @Test
@@ -27,6 +27,6 @@
         PromptPartId part = new PromptPartId(3);
         answered.record(part, NOW_MS);
         answered.record(part, NOW_MS - AnsweredParts.RETENTION_MS);
-        assertTrue(answered.speaksFor(part, NOW_MS + AnsweredParts.RETENTION_MS));
+        assertTrue(answered.clears(part, NOW_MS + AnsweredParts.RETENTION_MS));
     }
 }
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptQuarantineTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptQuarantineTest.java
@@ -85,7 +85,7 @@
     }
 
     @Test
-    public void answerThatBeganBeforeAPartTurnedBadDoesNotSpeakForItForLong() {
+    public void answerClearsByItsBeginAndNotByItsEnd() {
         long beganMillis = time.nowMillis();
         time.advance(AnsweredParts.RETENTION_MS + 1);
         instance(2).recordAnswered(List.of(BAD), beganMillis);
@@ -95,7 +95,7 @@
     }
 
     @Test
-    public void objectionOfOneCrashDoesNotSpeakForLaterOnes() {
+    public void objectionClearsOfOneCrashOnly() {
         instance(2).recordAnswered(List.of(BAD), time.nowMillis());
         crash(0, "a", BAD);
         time.advance(AnsweredParts.RETENTION_MS);
--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/QuarantineCodecTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/QuarantineCodecTest.java
@@ -10,19 +10,20 @@
 import java.util.Optional;
 import java.util.Random;
 import org.cuminspur.id.PromptPartId;
+import org.cuminspur.traffic.UpstreamProcessId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Checks that messages about crashes survive encoding, and that nothing else is decoded. */
 public class QuarantineCodecTest {
     private static final PromptPartId PART = new PromptPartId(-7);
-    private static final PartCrash CRASH = new PartCrash(PART, 9, 1_234, true);
+    private static final PartCrash CRASH = new PartCrash(PART, new UpstreamProcessId(9), 1_234, true);
     private static final int RANDOM_DATAGRAMS = 10_000;
 
     @DataProvider
     public Object[][] messages() {
         return new Object[][] {
-            {new QuarantineMessage.Crashes(List.of(CRASH, new PartCrash(PART, 10, 0, false)))},
+            {new QuarantineMessage.Crashes(List.of(CRASH, new PartCrash(PART, new UpstreamProcessId(10), 0, false)))},
             {new QuarantineMessage.Crashes(Collections.nCopies(QuarantineCodec.MAX_CRASHES, CRASH))},
             {new QuarantineMessage.TrialQuery(PART)},
             {new QuarantineMessage.TrialReply(PART, true)},
--- a/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/AnsweredParts.java
@@ -6,7 +6,7 @@
 
 /** Remembers when requests with each part of a prompt were answered last; not thread-safe, of bounded size. */
 final class AnsweredParts {
-    /** How long an answer speaks for a part; one that turns bad is not accused before. */
+    /** How long after an answer a crash is not put down to its parts. */
     static final long RETENTION_MS = 10_000;
 
     private static final int MAX_PARTS = 16_384;
@@ -26,10 +26,10 @@
         }
     }
 
-    /** Returns whether a part was answered after a moment or shortly before it. */
-    boolean speaksFor(PromptPartId part, long atMillis) {
+    /** Returns whether an answer after a crash, or shortly before it, shows that a part did not cause it. */
+    boolean clears(PromptPartId part, long crashMillis) {
         Long answered = answeredMillis.get(part);
-        return answered != null && answered >= atMillis - RETENTION_MS;
+        return answered != null && answered >= crashMillis - RETENTION_MS;
     }
 
     private long oldestMillis() {
--- a/org.cuminspur/src/org/cuminspur/quarantine/CrashEvidence.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/CrashEvidence.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cuminspur.id.PromptPartId;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * The crashes that each part of a prompt may have caused, as far as an instance knows.
@@ -41,16 +42,16 @@
         }
     }
 
-    private final Map<PromptPartId, Map<Long, Crash>> crashes = new LinkedHashMap<>();
+    private final Map<PromptPartId, Map<UpstreamProcessId, Crash>> crashes = new LinkedHashMap<>();
 
     /** Adds a fact; returns whether it changes what is known. */
     boolean add(PartCrash fact, long nowMillis) {
-        Map<Long, Crash> ofPart = crashes.computeIfAbsent(fact.part(), absent -> new LinkedHashMap<>());
-        Crash known = ofPart.get(fact.crash());
+        Map<UpstreamProcessId, Crash> ofPart = crashes.computeIfAbsent(fact.part(), absent -> new LinkedHashMap<>());
+        Crash known = ofPart.get(fact.process());
         boolean changed = known == null || (fact.cleared() && !known.cleared);
         if (known == null) {
             known = new Crash(nowMillis - fact.ageMillis());
-            ofPart.put(fact.crash(), known);
+            ofPart.put(fact.process(), known);
         }
         known.atMillis = Math.min(known.atMillis, nowMillis - fact.ageMillis());
         known.cleared |= fact.cleared();
@@ -58,24 +59,20 @@
         return changed;
     }
 
-    /** Clears a part of all crashes for which an answer speaks; returns the facts that changed. */
+    /** Clears a part of all crashes that an answer shows it did not cause; returns the facts that changed. */
     List<PartCrash> clear(PromptPartId part, long answeredMillis, long nowMillis) {
         List<PartCrash> changed = new ArrayList<>();
-        crashes.getOrDefault(part, Map.of()).forEach((id, crash) -> {
+        crashes.getOrDefault(part, Map.of()).forEach((process, crash) -> {
             if (!crash.cleared && answeredMillis >= crash.atMillis - AnsweredParts.RETENTION_MS) {
                 crash.cleared = true;
-                changed.add(fact(part, id, crash, nowMillis));
+                changed.add(fact(part, process, crash, nowMillis));
             }
         });
         return changed;
     }
 
-    boolean isKnown(PromptPartId part, long crash) {
-        return crashes.getOrDefault(part, Map.of()).containsKey(crash);
-    }
-
-    boolean isCleared(PromptPartId part, long crash) {
-        Crash known = crashes.getOrDefault(part, Map.of()).get(crash);
+    boolean isCleared(PromptPartId part, UpstreamProcessId process) {
+        Crash known = crashes.getOrDefault(part, Map.of()).get(process);
         return known != null && known.cleared;
     }
 
@@ -141,17 +138,18 @@
     }
 
     /** Drops the oldest crashes, those that are cleared first. */
-    private static void limit(Map<Long, Crash> ofPart) {
+    private static void limit(Map<UpstreamProcessId, Crash> ofPart) {
         while (ofPart.size() > MAX_CRASHES_PER_PART) {
             ofPart.entrySet().stream()
-                    .min(Comparator.<Map.Entry<Long, Crash>, Boolean>comparing(crash -> !crash.getValue().cleared)
+                    .min(Comparator.<Map.Entry<UpstreamProcessId, Crash>, Boolean>comparing(
+                                    crash -> !crash.getValue().cleared)
                             .thenComparingLong(crash -> crash.getValue().atMillis))
                     .map(Map.Entry::getKey)
                     .ifPresent(ofPart::remove);
         }
     }
 
-    private static PartCrash fact(PromptPartId part, long id, Crash crash, long nowMillis) {
-        return new PartCrash(part, id, Math.max(0, nowMillis - crash.atMillis), crash.cleared);
+    private static PartCrash fact(PromptPartId part, UpstreamProcessId process, Crash crash, long nowMillis) {
+        return new PartCrash(part, process, Math.max(0, nowMillis - crash.atMillis), crash.cleared);
     }
 }
--- a/org.cuminspur/src/org/cuminspur/quarantine/PromptQuarantine.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/PromptQuarantine.java
@@ -10,11 +10,11 @@
 import org.cuminspur.event.EventSink;
 import org.cuminspur.id.InstanceId;
 import org.cuminspur.id.PromptPartId;
-import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.time.Clock;
 import org.cuminspur.time.Timer;
 import org.cuminspur.traffic.FactGossip;
 import org.cuminspur.traffic.FleetView;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * Keeps requests from the upstreams if a part of their prompts crashes each upstream that begins to answer them.
@@ -68,7 +68,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
 
     /** A part that this instance accused of a crash. */
-    private record Accusation(PromptPartId part, long crash) {}
+    private record Accusation(PromptPartId part, UpstreamProcessId process) {}
 
     /** A request that waits until its parts are cleared. */
     private record Waiting(List<PromptPartId> parts, Consumer<Boolean> result) {}
@@ -137,13 +137,13 @@
     /** Returns whether requests with each of these parts were answered here lately, or at instances that objected. */
     public boolean areAnswered(List<PromptPartId> parts) {
         long now = clock.millis();
-        return parts.stream().allMatch(part -> answered.speaksFor(part, now) || evidence.isLastCleared(part));
+        return parts.stream().allMatch(part -> answered.clears(part, now) || evidence.isLastCleared(part));
     }
 
     /**
      * Records that a response with the parts in its prompt went on for a while, or was complete.
      *
-     * @param beganMillis when its first byte arrived; a part may have turned bad since
+     * @param beganMillis when its first byte arrived; a part may crash upstreams only since then
      */
     public void recordAnswered(List<PromptPartId> parts, long beganMillis) {
         long now = clock.millis();
@@ -162,14 +162,13 @@
     public void recordEnd(UpstreamEnd end) {
         long now = clock.millis();
         evidence.evictExpired(now);
-        long crash = Rendezvous.mix(
-                Rendezvous.hash(end.upstream().id().value()), end.upstream().startedMillis());
+        UpstreamProcessId process = UpstreamProcessId.of(end.upstream());
         List<PartCrash> accused = end.inProgress().stream()
                 .filter(request -> request.answeredMillis() < SUSPECT_MS)
                 .flatMap(request -> request.sharedParts().stream())
                 .distinct()
-                .filter(part -> !answered.speaksFor(part, now))
-                .map(part -> new PartCrash(part, crash, 0, false))
+                .filter(part -> !answered.clears(part, now))
+                .map(part -> new PartCrash(part, process, 0, false))
                 .filter(fact -> evidence.add(fact, now))
                 .toList();
         if (!accused.isEmpty()) {
@@ -221,13 +220,13 @@
         List<PartCrash> withdrawn = new ArrayList<>();
         evidence.evictExpired(now);
         for (PartCrash fact : facts) {
-            boolean clears = fact.cleared() || answered.speaksFor(fact.part(), now - fact.ageMillis());
-            evidence.add(new PartCrash(fact.part(), fact.crash(), fact.ageMillis(), clears), now);
-            PartCrash cleared = new PartCrash(fact.part(), fact.crash(), fact.ageMillis(), true);
-            if (!fact.cleared() && evidence.isCleared(fact.part(), fact.crash())) {
+            boolean clears = fact.cleared() || answered.clears(fact.part(), now - fact.ageMillis());
+            evidence.add(new PartCrash(fact.part(), fact.process(), fact.ageMillis(), clears), now);
+            PartCrash cleared = new PartCrash(fact.part(), fact.process(), fact.ageMillis(), true);
+            if (!fact.cleared() && evidence.isCleared(fact.part(), fact.process())) {
                 objections.add(cleared);
             }
-            if (fact.cleared() && accusations.remove(new Accusation(fact.part(), fact.crash()))) {
+            if (fact.cleared() && accusations.remove(new Accusation(fact.part(), fact.process()))) {
                 withdrawn.add(cleared);
             }
         }
@@ -239,7 +238,7 @@
     }
 
     private void rememberAccusation(PartCrash fact) {
-        accusations.add(new Accusation(fact.part(), fact.crash()));
+        accusations.add(new Accusation(fact.part(), fact.process()));
         if (accusations.size() > MAX_ACCUSATIONS) {
             accusations.remove(accusations.iterator().next());
         }
--- a/org.cuminspur/src/org/cuminspur/quarantine/QuarantineCodec.java
+++ b/org.cuminspur/src/org/cuminspur/quarantine/QuarantineCodec.java
@@ -5,11 +5,12 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.cuminspur.id.PromptPartId;
+import org.cuminspur.traffic.UpstreamProcessId;
 
 /**
  * Encodes messages about parts that may crash upstreams as datagrams; stateless and thread-safe.
  *
- * <p>A datagram is a byte with the kind. Crashes follow as part (8 bytes), crash (8 bytes), age in milliseconds (4 bytes)
+ * <p>A datagram is a byte with the kind. Crashes follow as part (8 bytes), process (8 bytes), age in milliseconds (4 bytes)
  * and whether it is cleared (1 byte) each; a query as the part; a reply as the part and whether the trial is granted (1
  * byte). All in network byte order; datagrams of other kinds or lengths are not decoded.
  */
@@ -48,7 +49,7 @@
             datagram.put(CRASHES);
             crashes.crashes()
                     .forEach(crash -> datagram.putLong(crash.part().hash())
-                            .putLong(crash.crash())
+                            .putLong(crash.process().hash())
                             .putInt((int) Math.min(Integer.MAX_VALUE, crash.ageMillis()))
                             .put((byte) (crash.cleared() ? 1 : 0)));
         } else if (message instanceof QuarantineMessage.TrialQuery query) {
@@ -82,8 +83,11 @@
 
     private static Optional<QuarantineMessage> decodeCrashes(ByteBuffer datagram) {
         List<PartCrash> crashes = IntStream.range(0, datagram.remaining() / CRASH_BYTES)
-                .mapToObj(i ->
-                        new PartCrash(decodePart(datagram), datagram.getLong(), datagram.getInt(), datagram.get() == 1))
+                .mapToObj(i -> new PartCrash(
+                        decodePart(datagram),
+                        new UpstreamProcessId(datagram.getLong()),
+                        datagram.getInt(),
+                        datagram.get() == 1))
                 .toList();
         return crashes.stream().anyMatch(crash -> crash.ageMillis() < 0)
                 ? Optional.empty()
