--- a/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptQuarantineTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/quarantine/PromptQuarantineTest.java
@@ -97,8 +97,9 @@
     @Test
     public void objectionClearsOfOneCrashOnly() {
         instance(2).recordAnswered(List.of(BAD), time.nowMillis());
+        time.advance(AnsweredParts.RETENTION_MS / 2);
         crash(0, "a", BAD);
-        time.advance(AnsweredParts.RETENTION_MS);
+        time.advance(AnsweredParts.RETENTION_MS / 2);
         crash(0, "b", BAD);
         crash(1, "c", BAD);
         assertTrue(instance(0).isQuarantined(BAD) && instance(2).isQuarantined(BAD));
