Log what an instance believes of its own path to each service

The outcome of each new connection is now kept per upstream of the present view, and a line service-path tells when the belief of a service changes, with its cause and the counts behind it. Nothing is decided by it. It logs at a change only, and holds one record per listed upstream.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
@@ -88,6 +88,7 @@
 
     /** Records that a response to the request began. */
     void responded(UpstreamExchange exchange, ResponseMetadata metadata) {
+        context.paths().received(exchange.upstream().entry());
         context.rateLimits().recordResponse(exchange.upstream(), sentMillis, metadata.limit());
         exchange.upstream().recordResponseStarted(exchange);
         metadata.pause().ifPresent(pause -> pause(exchange.upstream(), pause));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficContext.java
@@ -8,6 +8,7 @@
 import org.cuminspur.id.ServiceId;
 import org.cuminspur.ratelimit.PermitPlacement;
 import org.cuminspur.ratelimit.RateLimits;
+import org.cuminspur.reachability.PathMonitor;
 import org.cuminspur.router.HeaderCodec;
 import org.cuminspur.time.Clock;
 import org.cuminspur.traffic.FleetRetryBudget;
@@ -36,6 +37,7 @@
         CrashGuard crashGuard,
         RateLimits rateLimits,
         PermitPlacement permitPlacement,
+        PathMonitor paths,
         CallRouter router,
         UpstreamConnectionPool connections,
         HeaderCodec headerCodec,
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -20,6 +20,7 @@
 import org.cuminspur.internal.hash.Rendezvous;
 import org.cuminspur.ratelimit.PermitPlacement;
 import org.cuminspur.ratelimit.RateLimits;
+import org.cuminspur.reachability.PathMonitor;
 import org.cuminspur.router.HeaderCodec;
 import org.cuminspur.router.TrafficSettings;
 import org.cuminspur.router.internal.operator.PrometheusText;
@@ -104,7 +105,8 @@
         worker = createWorker();
         thread = worker.getIoThread();
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
-        UpstreamConnectionPool connections = new UpstreamConnectionPool(thread, buffers, clock);
+        PathMonitor paths = new PathMonitor(clock, events);
+        UpstreamConnectionPool connections = new UpstreamConnectionPool(thread, buffers, clock, paths);
         SplittableRandom random =
                 new SplittableRandom(Rendezvous.hash(settings.id().value()) ^ clock.millis());
         UpstreamPool upstreams = new UpstreamPool(settings.id(), settings.bounds(), connections::closeAll);
@@ -123,6 +125,7 @@
                 new CrashGuard(settings.id(), clock, this::runAfter, connections, peers, events, metrics),
                 rateLimits,
                 new PermitPlacement(placement, rateLimits, clock),
+                paths,
                 new CallRouter(random::nextDouble),
                 connections,
                 headerCodec,
@@ -162,6 +165,7 @@
             context.streamOrigins().update(view);
             context.crashGuard().update(view);
             context.rateLimits().update(view);
+            context.paths().update(view);
             peers.updatePeers(view.peers().entrySet().stream()
                     .filter(peer -> !peer.getKey().equals(settings.id()))
                     .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue)));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.cuminspur.reachability.PathMonitor;
 import org.cuminspur.time.Clock;
 import org.cuminspur.traffic.UpstreamState;
 import org.xnio.IoFuture;
@@ -56,12 +57,19 @@
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final Clock clock;
+    private final PathMonitor paths;
     private final Map<UpstreamState, Deque<Idle>> idle = new IdentityHashMap<>();
 
-    UpstreamConnectionPool(XnioIoThread thread, ByteBufferPool buffers, Clock clock) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param paths receives the outcome of each new connection
+     */
+    UpstreamConnectionPool(XnioIoThread thread, ByteBufferPool buffers, Clock clock, PathMonitor paths) {
         this.thread = thread;
         this.buffers = buffers;
         this.clock = clock;
+        this.paths = paths;
     }
 
     /** Takes an idle connection out of the pool, or returns null if there is none. */
@@ -92,7 +100,16 @@
         URI uri = URI.create(
                 "http://" + upstream.entry().host() + ":" + upstream.entry().port());
         IoFuture<ClientConnection> connecting = UndertowClient.getInstance().connect(uri, thread, buffers, OPTIONS);
-        PendingConnect pending = new PendingConnect(opened, failed);
+        long startedMillis = clock.millis();
+        PendingConnect pending = new PendingConnect(
+                connection -> {
+                    paths.connected(upstream.entry());
+                    opened.accept(connection);
+                },
+                cause -> {
+                    paths.connectFailed(upstream.entry(), startedMillis);
+                    failed.accept(cause);
+                });
         connecting.addNotifier((done, none) -> thread.execute(() -> pending.completed(done)), null);
         pending.timeout = thread.executeAfter(
                 () -> thread.executeAfter(pending::timedOut, TIMEOUT_RECHECK_MS, TimeUnit.MILLISECONDS),
