--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinStore.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinStore.java
@@ -17,8 +17,10 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BinaryOperator;
 import java.util.stream.Collectors;
 import java.util.stream.StreamSupport;
 import org.cuminspur.store.StoreEntry;
@@ -62,6 +64,7 @@
     private final Clock clock = Clock.system();
     private final AtomicLong calls = new AtomicLong();
     private final Undertow server;
+    private final List<Undertow> viewServers = new CopyOnWriteArrayList<>();
     private volatile boolean closing;
 
     /** Starts a store without eras on a free port of the loopback address. */
@@ -72,17 +75,37 @@
     /** Starts a store in an era on a free port of the loopback address. */
     public StandinStore(long era) {
         table = new KeyValueTable(era);
-        server = Undertow.builder()
+        server = listen((key, value) -> value);
+    }
+
+    public int port() {
+        return port(server);
+    }
+
+    /**
+     * Opens another port at which one instance sees the same store with other values.
+     *
+     * @param view returns the value to show by key and value; called on any thread
+     */
+    public int openView(BinaryOperator<String> view) {
+        Undertow viewServer = listen(view);
+        viewServers.add(viewServer);
+        return port(viewServer);
+    }
+
+    private Undertow listen(BinaryOperator<String> view) {
+        Undertow listener = Undertow.builder()
                 .addHttpListener(0, "127.0.0.1")
                 .setIoThreads(1)
                 .setWorkerThreads(WORKERS)
-                .setHandler(new BlockingHandler(this::serve))
+                .setHandler(new BlockingHandler(exchange -> serve(exchange, view)))
                 .build();
-        server.start();
+        listener.start();
+        return listener;
     }
 
-    public int port() {
-        return ((InetSocketAddress) server.getListenerInfo().get(0).getAddress()).getPort();
+    private static int port(Undertow listener) {
+        return ((InetSocketAddress) listener.getListenerInfo().get(0).getAddress()).getPort();
     }
 
     public StandinStoreFaults faults() {
@@ -133,10 +156,12 @@
     @Override
     public void close() {
         closing = true;
+        viewServers.forEach(Undertow::stop);
         server.stop();
     }
 
-    private void serve(HttpServerExchange exchange) throws IOException, InterruptedException {
+    private void serve(HttpServerExchange exchange, BinaryOperator<String> view)
+            throws IOException, InterruptedException {
         calls.incrementAndGet();
         TimeUnit.MILLISECONDS.sleep(faults.delayMillis());
         if (faults.mode() != StandinStoreFaults.Mode.UP) {
@@ -146,9 +171,9 @@
         table.expireLeases(clock.millis());
         String path = exchange.getRequestPath();
         if (path.equals("/kv-range")) {
-            answer(exchange, OK, page(range(query(exchange, "prefix"))));
+            answer(exchange, OK, page(range(query(exchange, "prefix")), view));
         } else if (path.equals("/kv-watch")) {
-            watch(exchange);
+            watch(exchange, view);
         } else if (path.equals("/kv-txn")) {
             commit(exchange);
         } else if (path.equals("/kv-lease")) {
@@ -170,7 +195,8 @@
         answer(exchange, UNAVAILABLE, JSON.createObjectNode());
     }
 
-    private void watch(HttpServerExchange exchange) throws IOException, InterruptedException {
+    private void watch(HttpServerExchange exchange, BinaryOperator<String> view)
+            throws IOException, InterruptedException {
         String prefix = query(exchange, "prefix");
         StoreRevision afterRevision = StoreRevision.withoutEra(Long.parseLong(query(exchange, "after")));
         long deadlineMillis = clock.millis() + Long.parseLong(query(exchange, "wait_ms"));
@@ -201,7 +227,7 @@
         long asOf = revision().number();
         ObjectNode reply = JSON.createObjectNode().put("as_of", asOf);
         ArrayNode rows = reply.putArray("events");
-        events.forEach(event -> fillRow(rows.addObject(), event));
+        events.forEach(event -> fillRow(rows.addObject(), event, view));
         answer(exchange, OK, reply);
     }
 
@@ -245,21 +271,25 @@
         return table.range(prefix, prefix + Character.MAX_VALUE);
     }
 
-    private static ObjectNode page(StoreView view) {
+    private static ObjectNode page(StoreView entries, BinaryOperator<String> view) {
         ObjectNode page = JSON.createObjectNode()
                 .put("more_pages", false)
-                .put("as_of", view.revision().number());
+                .put("as_of", entries.revision().number());
         ArrayNode items = page.putArray("items");
-        view.entries().forEach(entry -> fillRow(items.addObject(), entry));
+        entries.entries().forEach(entry -> fillRow(items.addObject(), entry, view));
         return page;
     }
 
-    private static void fillRow(ObjectNode row, StoreEntry entry) {
+    private static void fillRow(ObjectNode row, StoreEntry entry, BinaryOperator<String> view) {
         row.put("key", entry.key()).put("revision", entry.modRevision().number());
         if (entry.value().isEmpty()) {
             row.put("removed", true);
         } else {
-            row.put("value", Base64.getEncoder().encodeToString(entry.value().getBytes(StandardCharsets.UTF_8)));
+            row.put(
+                    "value",
+                    Base64.getEncoder()
+                            .encodeToString(
+                                    view.apply(entry.key(), entry.value()).getBytes(StandardCharsets.UTF_8)));
         }
     }
 
