Show that instances which are cut off from upstreams serve nobody

Callers of an instance that lost its links to the upstreams are not served, though other instances reach them.

--- a/platform.test/tst/org/cuminspur/platform/RouterFleet.java
+++ b/platform.test/tst/org/cuminspur/platform/RouterFleet.java
@@ -33,11 +33,16 @@
 
     /** Starts another instance, waits until the others can know it, and returns its number. */
     int start() {
+        return start("a", store.port());
+    }
+
+    /** Starts an instance in a failure domain that sees the store at a port. */
+    int start(String domain, int storePort) {
         int registered = store.count(INSTANCE_PREFIX);
         int port = freePort();
         ports.add(port);
         Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
-                "settings", InstanceSettings.text("router-" + port, "a", port, freePort(), freePort(), store.port()));
+                "settings", InstanceSettings.text("router-" + port, domain, port, freePort(), freePort(), storePort));
         routers.add(TrafficRouter.start(
                 settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
         Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
