Take a refused connection for a crash only while other upstreams take connections

Callers of other instances were refused sound requests: an instance that is cut off with refused connections took each upstream for crashed, accused its requests in progress, and two such crashes quarantine a request at the whole fleet. Cause: a refused connection counted as a proof by itself, though a cut shows the same. It now counts once an inquiry has shown that most other upstreams of the service take connections; until then only the entry tells.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CrashGuard.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CrashGuard.java
@@ -18,6 +18,7 @@
 import org.cuminspur.quarantine.UpstreamEnd;
 import org.cuminspur.quarantine.UpstreamEndDetector;
 import org.cuminspur.reachability.PathMonitor;
+import org.cuminspur.reachability.PathState;
 import org.cuminspur.time.Clock;
 import org.cuminspur.time.Timer;
 import org.cuminspur.traffic.FleetView;
@@ -123,7 +124,7 @@
 
     /** Finds out whether this instance reaches other upstreams of the same service. */
     private void whenPathProved(UpstreamState upstream, Consumer<Boolean> result) {
-        result.accept(true);
+        paths.whenSettled(upstream.entry().service(), state -> result.accept(state == PathState.REACHABLE));
     }
 
     private void probed(CrashInquiry.Probe probe, Consumer<CrashInquiry.Probe> result) {
--- a/platform.test/tst/org/cuminspur/platform/CutInstanceTest.java
+++ b/platform.test/tst/org/cuminspur/platform/CutInstanceTest.java
@@ -28,6 +28,7 @@
     /** Time from the beginning of a cut from which callers must be served. */
     private static final long CONTACT_MS = 3_000;
 
+    private static final long SLOW_MS = 800;
     private static final int CALLS = 60;
     private static final long GAP_MS = 12;
     private static final double MIN_SERVED = 0.9;
@@ -96,6 +97,26 @@
         assertEquals(send(0, "/book/x", "after"), CALLS);
     }
 
+    /** Guards against a cut that is taken for crashes of all upstreams at once. */
+    @Test
+    public void cutInstanceAccusesNoRequest() throws InterruptedException {
+        servers.forEach(server -> server.setBehaviour((connection, request) -> {
+            Deployment.pause(SLOW_MS);
+            return StandinServer.plainAnswer("done").answer(connection, request);
+        }));
+        List<Thread> callers = IntStream.range(0, 4 * SERVERS)
+                .mapToObj(i -> new Thread(() -> status(0, "/look/poll", "poll-" + i, 4_000)))
+                .toList();
+        callers.forEach(Thread::start);
+        Deployment.pause(SLOW_MS / 2);
+        links.get(0).mode(CutLink.Mode.REFUSE);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+        Deployment.pause(SLOW_MS);
+        assertEquals(status(1, "/look/poll", "poll-after", 4_000), OK);
+    }
+
     /** Sends requests one after the other and returns how many are served. */
     private int send(int instance, String path, String prefix) {
         return (int) IntStream.range(0, CALLS)
