Cut instances off from all upstreams in the soak

No check of the soak had an instance without links to upstreams. Each instance now reaches its upstreams by links of its own; INSTANCE_CUT cuts those of one instance or of a failure domain: hanging, reset, refused or living on.

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Plan.java
@@ -39,6 +39,8 @@
         INSTANCE_STOP,
         INSTANCE_KILL,
         INSTANCE_PAUSE,
+        /** An instance, or all of a failure domain, loses its links to all upstreams. */
+        INSTANCE_CUT,
         CALLERS_RESET,
         CALLERS_SILENT,
         STORE_LINK_SILENT,
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminspur.standin.users.InstanceSettings;
 import org.cuminspur.standin.users.StandinCaller;
+import org.cuminspur.standin.users.StandinStore;
+import org.cuminspur.standin.users.UpstreamLinks;
 
 /**
  * An instance as a process of its own, which is started again whenever it ends, as the platform does; thread-safe.
@@ -38,18 +40,20 @@
     private final int readinessPort = freePort();
     private final FaultProxy storeLink;
     private final FaultProxy callersLink;
+    private final UpstreamLinks upstreamLinks = new UpstreamLinks();
     private final Path settings;
     private volatile Process process;
     private volatile int starts;
     private volatile boolean ready;
     private volatile boolean closed;
 
-    RouterProcess(String name, String domain, List<String> command, int storePort, Path folder) throws IOException {
+    RouterProcess(String name, String domain, List<String> command, StandinStore store, Path folder)
+            throws IOException {
         this.name = name;
         this.domain = domain;
         this.command = command;
         this.folder = folder;
-        storeLink = new FaultProxy(storePort);
+        storeLink = new FaultProxy(store.openView(upstreamLinks::view));
         callersLink = new FaultProxy(callersPort);
         settings = folder.resolve(name + ".ini");
         Files.writeString(
@@ -89,6 +93,10 @@
         return callersLink;
     }
 
+    UpstreamLinks upstreamLinks() {
+        return upstreamLinks;
+    }
+
     /** Sends a signal by its name, such as {@code TERM}. */
     void signal(String signal) {
         Process now = process;
@@ -115,6 +123,7 @@
         }
         storeLink.close();
         callersLink.close();
+        upstreamLinks.close();
     }
 
     private void keep() {
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -15,6 +15,7 @@
 import org.cuminspur.soak.internal.History.Fault;
 import org.cuminspur.soak.internal.History.Said;
 import org.cuminspur.soak.internal.History.Serving;
+import org.cuminspur.standin.users.CutLink;
 import org.cuminspur.standin.users.StandinStore;
 import org.cuminspur.standin.users.StandinStoreFaults;
 import org.cuminspur.testing.KeyValueTable;
@@ -50,6 +51,12 @@
     /** Factor on the time of steps the bounds of whose checks begin some seconds after them. */
     private static final int LONG_FACTOR = 4;
 
+    /** Factor on the time of cuts, since callers need not be served in their first seconds. */
+    private static final int CUT_FACTOR = 2;
+
+    private static final List<CutLink.Mode> CUT_MODES =
+            List.of(CutLink.Mode.HANG, CutLink.Mode.REFUSE, CutLink.Mode.RESET, CutLink.Mode.LIVE_ON);
+
     private static final Map<Plan.Kind, SoakUpstream.Mode> UPSTREAM_MODES = Map.of(
             Plan.Kind.UPSTREAM_SLOW, SoakUpstream.Mode.SLOW,
             Plan.Kind.UPSTREAM_ERRORS, SoakUpstream.Mode.ERRORS,
@@ -101,7 +108,7 @@
         }
         for (int i = 0; i < size; i++) {
             String domain = domains.get(i % domains.size());
-            instances.add(new RouterProcess("router-" + i, domain, command, store.port(), folder));
+            instances.add(new RouterProcess("router-" + i, domain, command, store, folder));
         }
     }
 
@@ -128,6 +135,7 @@
             case INSTANCE_STOP -> signal(instance, Plan.STOP, "TERM", step);
             case INSTANCE_KILL -> signal(instance, "kill", "KILL", step);
             case INSTANCE_PAUSE -> pause(instance, step);
+            case INSTANCE_CUT -> cutOff(instance, step);
             case ALL_KILLED -> instances.forEach(one -> signal(one, "kill", "KILL", step));
             case CALLERS_RESET, CALLERS_SILENT -> link(instance.callersLink(), instance.name(), step);
             case STORE_LINK_SILENT, STORE_LINK_RESET, STORE_LINK_ONE_WAY, STORE_LINK_SLOW ->
@@ -169,6 +177,20 @@
         after(step, () -> instance.signal("CONT"));
     }
 
+    /** Cuts an instance, or each second time its failure domain, off from all upstreams. */
+    private void cutOff(RouterProcess instance, Plan.Step step) {
+        CutLink.Mode mode = CUT_MODES.get(step.index() / 2 % CUT_MODES.size());
+        long millis = CUT_FACTOR * step.forMillis();
+        instances.stream()
+                .filter(one -> one == instance
+                        || (step.index() % 2 == 0 && one.domain().equals(instance.domain())))
+                .forEach(one -> {
+                    fault(step.kind().name(), one.name(), millis);
+                    one.upstreamLinks().mode(mode);
+                    later.schedule(() -> one.upstreamLinks().mode(CutLink.Mode.WHOLE), millis, TimeUnit.MILLISECONDS);
+                });
+    }
+
     private void link(FaultProxy link, String target, Plan.Step step) {
         fault(step.kind().name(), target, step.forMillis());
         link.mode(LINK_MODES.get(step.kind()));
@@ -255,6 +277,8 @@
     private synchronized void replace(SoakUpstream crashed) {
         history.add(new Change(Said.UPSTREAM_LEAVES, crashed.id(), history.now()));
         fault("crash", crashed.id(), DOWN_MS);
+        instances.forEach(
+                instance -> instance.upstreamLinks().ended(crashed.link().port()));
         boolean model = models.remove(crashed);
         boolean app = apps.remove(crashed);
         later.schedule(() -> operator.forget(crashed), LEASE_MS, TimeUnit.MILLISECONDS);
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -199,6 +199,15 @@
                 seen.add(run("1", Kind.LOOK, 110));
                 seen.add(run("2", Kind.LOOK, 470));
             }),
+            row("cut-instances-serve", seen -> {
+                seen.add(new Fault(Plan.Kind.INSTANCE_CUT.name(), INSTANCE, 1_000, 9_000));
+                IntStream.range(0, 30).forEach(i -> {
+                    seen.add(call("c" + i, Kind.LOOK, 1, 5_000 + i, End.WHOLE, 503));
+                    seen.add(new Call(
+                            "d" + i, Kind.LOOK, "router-1", 1, "key-1", 5_000 + i, 5_050, End.WHOLE, 200, true));
+                    seen.add(run("d" + i, Kind.LOOK, 5_010 + i));
+                });
+            }),
             row("cold-rate", seen -> {
                 seen.add(new Change(Said.UPSTREAM_STARTED, "upstream", 1_000));
                 IntStream.range(0, 27).forEach(i -> {
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UpstreamLinks.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UpstreamLinks.java
@@ -1,6 +1,7 @@
 package org.cuminspur.standin.users;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -32,6 +33,11 @@
         links.values().parallelStream().forEach(link -> link.mode(next));
     }
 
+    /** Refuses connections to an upstream whose process has ended, as its own port does. */
+    public void ended(int port) {
+        Optional.ofNullable(links.get(port)).ifPresent(CutLink::close);
+    }
+
     @Override
     public void close() {
         links.values().forEach(CutLink::close);
