Pass no connection on that only fills the queue of a link that hangs

A link that hangs fills its queue with connections of its own; once it was whole, all of them were passed on, some fifty to each upstream at once, which overflows its queue, and connections that a full queue drops are tried again after 1, 3 and 7 s. They are closed now instead.

--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
@@ -50,6 +50,10 @@
     private final int port;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final List<Socket> queued = new ArrayList<>();
+
+    /** Local ports of connections that only fill the queue, and are not passed on when they are accepted later. */
+    private final Set<Integer> fillers = ConcurrentHashMap.newKeySet();
+
     private volatile ServerSocket server;
     private volatile Mode mode = Mode.WHOLE;
     private volatile boolean closed;
@@ -110,6 +114,7 @@
             try {
                 socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), FULL_MS);
                 queued.add(socket);
+                fillers.add(socket.getLocalPort());
             } catch (SocketTimeoutException e) {
                 // The queue is full, as it is to be.
                 socket.close();
@@ -127,7 +132,11 @@
             try {
                 if (accepts()) {
                     Socket near = server.accept();
-                    daemon(() -> pass(near));
+                    if (fillers.remove(near.getPort())) {
+                        reset(near);
+                    } else {
+                        daemon(() -> pass(near));
+                    }
                 } else {
                     sleep(POLL_MS);
                 }
