Keep what an upstream's process said of itself while its entry is gone

A process that asked for time, or said that it leaves, got requests again at once if its entry lapsed and came back, as entries do while the store is away: both were kept with the entry. They belong to the process and are kept for it now, 256 processes beyond those listed at most; a response to a request that was sent before the entry lapsed counts for the present one too.

UpstreamWithdrawalTest.whatAProcessSaidOutlivesItsEntry failed before (0 ms left of 1,500).

--- a/org.cuminspur.test/tst/org/cuminspur/traffic/UpstreamWithdrawalTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/UpstreamWithdrawalTest.java
@@ -61,6 +61,44 @@
         assertFalse(RequestPause.INVALID.isValid());
     }
 
+    @Test
+    public void pauseOutlivesAChangeOfTheEntry() {
+        one().pause(2_000, NOW_MS);
+        pool.update(
+                TrafficFixtures.view(2, TrafficFixtures.upstream("one", 1, "v1").asDraining()), NOW_MS + 100);
+        pool.update(TrafficFixtures.view(3, TrafficFixtures.upstream("one", 1, "v1")), NOW_MS + 200);
+        assertEquals(one().leftOutMillis(NOW_MS + 500), 1_500);
+    }
+
+    @Test
+    public void whatAProcessSaidOutlivesItsEntry() {
+        UpstreamState before = one();
+        before.pause(2_000, NOW_MS);
+        pool.update(TrafficFixtures.view(2), NOW_MS + 100);
+        pool.update(TrafficFixtures.view(3, TrafficFixtures.upstream("one", 1, "v1")), NOW_MS + 200);
+        assertEquals(one().leftOutMillis(NOW_MS + 500), 1_500);
+        before.pause(4_000, NOW_MS + 500);
+        before.recordLeaving();
+        assertEquals(one().leftOutMillis(NOW_MS + 500), 4_000);
+        assertFalse(one().acceptsNewWork());
+    }
+
+    @Test
+    public void pauseOfAProcessDoesNotBindTheNextOne() {
+        one().pause(2_000, NOW_MS);
+        pool.update(TrafficFixtures.view(2), NOW_MS + 100);
+        pool.update(TrafficFixtures.view(3, TrafficFixtures.upstream("one", 2, "v1")), NOW_MS + 200);
+        assertEquals(one().leftOutMillis(NOW_MS + 500), 0);
+    }
+
+    @Test
+    public void processesThatWentAreForgottenInTime() {
+        for (int i = 0; i < 4 * UpstreamPool.MAX_WITHDRAWALS; i++) {
+            pool.update(TrafficFixtures.view(2, TrafficFixtures.upstream("other", i, "v1")), NOW_MS + i);
+        }
+        assertTrue(pool.withdrawals() <= UpstreamPool.MAX_WITHDRAWALS + 1, "kept " + pool.withdrawals());
+    }
+
     private UpstreamState one() {
         return pool.find(new UpstreamId("one")).orElseThrow();
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamPool.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +16,8 @@
 /**
  * The upstreams of the fleet, with this instance's state of each.
  *
- * <p>Not thread-safe; confined to the traffic thread. The state of an upstream is reset when its process restarts.
+ * <p>Not thread-safe; confined to the traffic thread. The state of an upstream is reset when its process restarts or
+ * its entry goes; what the process said of itself in responses is not, if it comes back.
  */
 public final class UpstreamPool {
     /**
@@ -27,11 +29,15 @@
     /** Requests a second that an instance may always send to a warm upstream, for a burst with one prompt. */
     private static final int MIN_WARM_SHARE = 3;
 
+    /** Processes whose withdrawals are kept beyond those that are listed; the latest ones are kept. */
+    static final int MAX_WITHDRAWALS = 256;
+
     private final InstanceId self;
     private final TrafficBounds bounds;
     private final Consumer<UpstreamState> onRemoved;
     private final Map<UpstreamId, UpstreamState> states = new HashMap<>();
     private final Map<ServiceId, List<UpstreamState>> byService = new HashMap<>();
+    private final Map<UpstreamProcessId, UpstreamWithdrawal> withdrawals = new LinkedHashMap<>();
     private FleetView view = FleetView.EMPTY;
 
     /**
@@ -78,6 +84,7 @@
             return ended;
         });
         newView.upstreams().values().forEach(entry -> updateUpstream(entry, nowMillis));
+        evictWithdrawals();
         byService.clear();
         states.values().stream()
                 .sorted((a, b) -> a.id().compareTo(b.id()))
@@ -101,7 +108,8 @@
     }
 
     private void updateUpstream(UpstreamEntry entry, long nowMillis) {
-        UpstreamState state = states.computeIfAbsent(entry.id(), id -> new UpstreamState(entry, nowMillis));
+        UpstreamState state = states.computeIfAbsent(
+                entry.id(), id -> new UpstreamState(entry, withdrawal(UpstreamProcessId.of(entry)), nowMillis));
         if (!state.entry().equals(entry)) {
             state.update(entry, nowMillis);
         }
@@ -120,6 +128,32 @@
         state.setDomainDrained(drained);
     }
 
+    /** Returns what a process said of itself, also before its entry lapsed. */
+    private UpstreamWithdrawal withdrawal(UpstreamProcessId process) {
+        UpstreamWithdrawal known =
+                Optional.ofNullable(withdrawals.remove(process)).orElseGet(UpstreamWithdrawal::new);
+        withdrawals.put(process, known);
+        return known;
+    }
+
+    private void evictWithdrawals() {
+        if (withdrawals.size() > MAX_WITHDRAWALS + states.size()) {
+            Set<UpstreamProcessId> listed = states.values().stream()
+                    .map(state -> UpstreamProcessId.of(state.entry()))
+                    .collect(Collectors.toSet());
+            withdrawals.keySet().stream()
+                    .filter(process -> !listed.contains(process))
+                    .limit(withdrawals.size() - MAX_WITHDRAWALS - states.size())
+                    .toList()
+                    .forEach(withdrawals::remove);
+        }
+    }
+
+    /** Returns the number of processes whose withdrawals are kept. */
+    int withdrawals() {
+        return withdrawals.size();
+    }
+
     private ServiceLimits serviceLimits(ServiceId service) {
         return view.routes()
                 .map(routes -> routes.config().services().get(service))
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -36,9 +36,9 @@
     private final SlidingWindowCounter sentLastSecond = new SlidingWindowCounter(SECOND_MS, INITIAL_CAPACITY);
     private final Map<Object, Long> unanswered = new LinkedHashMap<>();
     private final long hash;
+    private final UpstreamWithdrawal withdrawal;
     private UpstreamEntry entry;
     private boolean domainDrained;
-    private boolean leaving;
     private int coldShare;
     private int warmShare;
     private long coldUntilMillis;
@@ -52,11 +52,11 @@
     private long unreachableMillis = Long.MIN_VALUE;
     private Optional<NamedLimit> namedLimit = Optional.empty();
     private long leftOutUntilMillis = Long.MIN_VALUE / 2;
-    private long pausedUntilMillis = Long.MIN_VALUE / 2;
     private boolean invalidPauseSeen;
 
-    UpstreamState(UpstreamEntry entry, long nowMillis) {
+    UpstreamState(UpstreamEntry entry, UpstreamWithdrawal withdrawal, long nowMillis) {
         this.entry = entry;
+        this.withdrawal = withdrawal;
         this.hash = Rendezvous.hash(entry.id().value());
         update(entry, nowMillis);
     }
@@ -102,7 +102,7 @@
 
     /** Lets it take no request for a time that it asked for; a shorter one does not shorten an earlier one. */
     public void pause(long millis, long nowMillis) {
-        pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + millis);
+        withdrawal.pauseUntil(nowMillis + millis);
     }
 
     /** Records that it asked for something that is no time; returns whether that is new. */
@@ -114,7 +114,7 @@
 
     /** Returns how long it still takes no request because of its limit or a pause, 0 if it may take one. */
     public long leftOutMillis(long nowMillis) {
-        return Math.max(0, Math.max(leftOutUntilMillis, pausedUntilMillis) - nowMillis);
+        return Math.max(0, Math.max(leftOutUntilMillis, withdrawal.pausedUntilMillis()) - nowMillis);
     }
 
     /** Returns whether it may take new work by its entry, its failure domain and, while it is cold, its rate share. */
@@ -129,14 +129,12 @@
 
     /** Returns whether neither the upstream nor its failure domain is drained, and it has not said that it leaves. */
     public boolean acceptsNewWork() {
-        return !entry.draining() && !domainDrained && !leaving;
+        return !entry.draining() && !domainDrained && !withdrawal.isLeaving();
     }
 
     /** Records that it said in a response that it leaves; returns whether that is new. A process never takes it back. */
     public boolean recordLeaving() {
-        boolean first = !leaving;
-        leaving = true;
-        return first;
+        return withdrawal.recordLeaving();
     }
 
     /** Returns whether it is known or assumed to be cold. */
