Keep a pause that an upstream states in a response to another request

What an upstream says of itself is now read from each of its responses, before it is decided whether the response belongs to the request.

ServerWithdrawalTest.pauseInAnAnswerToAnotherRequestIsKept: 3 requests reached the server in that time before, none now.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
@@ -95,15 +95,19 @@
         });
     }
 
+    /** Records what the upstream says of itself, also in a response to another request that comes late. */
+    void withdrawn(UpstreamExchange<UpstreamState> exchange, ResponseMetadata metadata) {
+        metadata.pause().ifPresent(pause -> pause(exchange.destination(), pause));
+        if (metadata.leaving() && exchange.destination().recordLeaving()) {
+            log.upstreamLeaves(exchange.destination());
+        }
+    }
+
     /** Records that a response to the request began. */
     void responded(UpstreamExchange<UpstreamState> exchange, ResponseMetadata metadata) {
         context.paths().monitor().received(exchange.destination().entry());
         context.rateLimits().recordResponse(exchange.destination(), sentMillis, metadata.limit());
         exchange.destination().recordResponseStarted(exchange);
-        metadata.pause().ifPresent(pause -> pause(exchange.destination(), pause));
-        if (metadata.leaving() && exchange.destination().recordLeaving()) {
-            log.upstreamLeaves(exchange.destination());
-        }
         context.crashGuard().recordAlive(exchange.destination(), sentMillis);
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -150,6 +150,7 @@
     @Override
     public void responseStarted(UpstreamExchange<UpstreamState> from, int responseStatus, HeaderMap headers) {
         ResponseMetadata metadata = context.headerCodec().decodeAnswer(responseStatus, headers);
+        outcomes.withdrawn(from, metadata);
         if (!metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION)) {
             from.cancel();
             detach(from);
--- a/platform.test/tst/org/cuminspur/platform/ServerWithdrawalTest.java
+++ b/platform.test/tst/org/cuminspur/platform/ServerWithdrawalTest.java
@@ -69,6 +69,19 @@
         sendUntilReached(deployment.appA);
     }
 
+    @Test
+    public void pauseInAnAnswerToAnotherRequestIsKept() throws IOException {
+        deployment.appA.setBehaviour((connection, request) -> {
+            connection.send("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: other\r\nRetry-After: 1.5\r\n"
+                    + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+        sendUntilReached(deployment.appA);
+        int before = deployment.appA.executedRequests().size();
+        send(OK);
+        assertEquals(deployment.appA.executedRequests().size(), before);
+    }
+
     @Test
     public void requestIsRefusedAtOnceIfAllServersAskForTime() throws IOException {
         deployment.appA.setBehaviour(answer(UNAVAILABLE, "Not-Executed: 1\r\nRetry-After: 30\r\n"));
