Show that streams may join two versions after a kill of all instances

Callers may get a stream whose first part is of a version that left the store just before all instances were killed, and whose rest is of another one: a new process takes upstreams that started long ago for proof that no other version served.

--- /dev/null
+++ b/platform.test/tst/org/cuminspur/platform/StreamVersionAfterKillTest.java
@@ -0,0 +1,36 @@
+package org.cuminspur.platform;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.cuminspur.standin.users.StandinCaller;
+import org.testng.annotations.Test;
+
+/** Checks with real instances that no stream is joined from two versions after all instances were killed. */
+public class StreamVersionAfterKillTest {
+    private static final int INSTANCES = 3;
+    private static final int STREAMS = 6;
+
+    /** Guards against streams that go on at another version, as theirs left the store just before the kill. */
+    @Test(groups = "known-red")
+    public void streamOfVersionThatLeftIsNotJoinedAfterAllInstancesWereKilled() {
+        try (StreamFleet fleet = new StreamFleet(INSTANCES)) {
+            fleet.startServer("a1", "v1");
+            fleet.startServer("b1", "v2");
+            List<String> begun = IntStream.range(0, STREAMS)
+                    .mapToObj(i -> fleet.beginAndLeave(i % INSTANCES, "left-" + i))
+                    .toList();
+            fleet.removeServer("a1");
+            IntStream.range(0, INSTANCES).forEach(fleet::killInstance);
+            int restarted = fleet.startInstance();
+            IntStream.range(0, STREAMS).forEach(i -> {
+                String rest = fleet.resume(restarted, "left-" + i + "-again", "left-" + i)
+                        .filter(answer -> answer.status() == 200)
+                        .map(StandinCaller.Answer::body)
+                        .orElse("");
+                assertEquals(StreamFleet.versionsIn(begun.get(i) + rest), 1, begun.get(i) + rest);
+            });
+        }
+    }
+}
