End the instances of a soak however it is stopped

A soak that was ended by hand left its instances running, and those reached others' ports. A shutdown hook now ends them, paused ones too, and none starts after it.

--- a/org.cuminspur.soak/src/org/cuminspur/soak/Soak.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/Soak.java
@@ -61,6 +61,7 @@
             commander.usage();
             System.exit(soak.help ? 0 : USAGE);
         }
+        Round.endInstancesAtExit();
         System.exit(soak.play() ? 0 : BROKEN);
     }
 
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Round.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Round.java
@@ -28,6 +28,11 @@
     /** What a round came to; immutable. */
     public record Result(long seed, int steps, long calls, long served, List<String> violations) {}
 
+    /** Ends the instances of all rounds when this process ends, also by a signal; no other starts after that. */
+    public static void endInstancesAtExit() {
+        Runtime.getRuntime().addShutdownHook(new Thread(RouterProcess::endAll, "end-instances"));
+    }
+
     /** Runs the round; takes as long as the soak is to be, and some seconds. */
     public Result run() {
         try {
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/RouterProcess.java
@@ -7,6 +7,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cuminspur.standin.users.InstanceSettings;
@@ -32,6 +34,11 @@
     private static final AtomicInteger NEXT_PORT =
             new AtomicInteger(FIRST_PORT + (int) (ProcessHandle.current().pid() % (LAST_PORT - FIRST_PORT)));
 
+    /** The processes that run now, to be ended with this one. */
+    private static final Set<Process> RUNNING = ConcurrentHashMap.newKeySet();
+
+    private static volatile boolean ending;
+
     private final String name;
     private final String domain;
     private final List<String> command;
@@ -67,6 +74,12 @@
         balancer.start();
     }
 
+    /** Ends all processes that were started, however this one ends; a paused one is ended too. */
+    static void endAll() {
+        ending = true;
+        RUNNING.forEach(Process::destroyForcibly);
+    }
+
     String name() {
         return name;
     }
@@ -128,7 +141,7 @@
 
     private void keep() {
         try {
-            while (!closed) {
+            while (!closed && !ending) {
                 ProcessBuilder builder = new ProcessBuilder(command)
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.appendTo(
@@ -136,7 +149,9 @@
                 builder.environment().put("CUMINSPUR_SETTINGS", settings.toString());
                 starts++;
                 process = builder.start();
+                RUNNING.add(process);
                 process.waitFor();
+                RUNNING.remove(process);
                 TimeUnit.MILLISECONDS.sleep(RESTART_MS);
             }
         } catch (IOException e) {
