Run the rounds of one inquiry only, and end a doubt by connections only

An inquiry that began within a quarter second of the end of another one went on beside the rounds of that one, so that instances were asked as often as inquiries had begun; and a doubt ended without a connection that proves the path if an upstream that failed left the list, which let a refused connection count as a crash. Found in reading. Rounds now belong to an inquiry by its number, and a doubt ends once as many upstreams take connections as fail. CutInstanceFleetTest holds as before.

--- a/org.cuminspur/src/org/cuminspur/reachability/PathMonitor.java
+++ b/org.cuminspur/src/org/cuminspur/reachability/PathMonitor.java
@@ -36,14 +36,14 @@
     /** Longest time for which {@link #whenSettled} waits. */
     static final long SETTLE_MS = 1_000;
 
-    /** Time between the rounds of an inquiry; doubled up to the maximum while nothing changes. */
+    /** Time between the rounds of an inquiry. */
     private static final long ROUND_MS = 250;
 
-    private static final long MAX_ROUND_MS = 2_000;
-
     /** Rounds after which they come less often, unless this instance is cut off. */
     private static final int FREQUENT_ROUNDS = 12;
 
+    private static final long RARE_ROUND_MS = 2_000;
+
     private static final int PROBES_PER_ROUND = 4;
 
     /** Age from which what is known of a path is found out again for another instance. */
@@ -258,13 +258,15 @@
 
     private void beginInquiry(ServiceId id, ServicePath service) {
         if (!service.isInquiring()) {
-            service.beginInquiry(clock.millis());
-            round(id, service);
+            round(id, service, service.beginInquiry(clock.millis()));
         }
     }
 
-    private void round(ServiceId id, ServicePath service) {
-        if (!service.isInquiring() || services.get(id) != service) {
+    private void round(ServiceId id, ServicePath service, int inquiry) {
+        if (!service.isInquiry(inquiry)) {
+            return;
+        }
+        if (services.get(id) != service) {
             service.settleAll();
             return;
         }
@@ -277,7 +279,7 @@
         boolean frequent = before < FREQUENT_ROUNDS
                 || service.state() == PathState.CUT_OFF
                 || service.state() == PathState.RETURNING;
-        timer.schedule(frequent ? ROUND_MS : MAX_ROUND_MS, () -> round(id, service));
+        timer.schedule(frequent ? ROUND_MS : RARE_ROUND_MS, () -> round(id, service, inquiry));
     }
 
     private void probe(ServicePath service) {
@@ -307,10 +309,8 @@
         long now = clock.millis();
         boolean relayKnown = relays.hasFresh(id, now);
         PathState next = switch (service.state()) {
-            case REACHABLE, DOUBTFUL ->
-                !service.mostFail(now)
-                        ? PathState.REACHABLE
-                        : relayKnown && service.othersReach(now) ? PathState.CUT_OFF : PathState.DOUBTFUL;
+            case REACHABLE -> service.mostFail(now) ? failing(service, relayKnown) : PathState.REACHABLE;
+            case DOUBTFUL -> service.mostConnect(now) ? PathState.REACHABLE : failing(service, relayKnown);
             case CUT_OFF ->
                 service.mostConnect(now) ? PathState.RETURNING : relayKnown ? PathState.CUT_OFF : PathState.DOUBTFUL;
             case RETURNING ->
@@ -324,6 +324,11 @@
         }
     }
 
+    private PathState failing(ServicePath service, boolean relayKnown) {
+        long now = clock.millis();
+        return relayKnown && service.mostFail(now) && service.othersReach(now) ? PathState.CUT_OFF : PathState.DOUBTFUL;
+    }
+
     private void enter(ServiceId id, ServicePath service, PathState next) {
         PathState before = service.state();
         long now = clock.millis();
--- a/org.cuminspur/src/org/cuminspur/reachability/ServicePath.java
+++ b/org.cuminspur/src/org/cuminspur/reachability/ServicePath.java
@@ -39,6 +39,7 @@
     private long sinceMillis;
     private long inquirySinceMillis = UpstreamPath.NEVER;
     private long inquiryBeganMillis = UpstreamPath.NEVER;
+    private int inquiries;
     private int rounds;
     private long returnMillis = MIN_RETURN_MS;
     private long returnedMillis = UpstreamPath.NEVER;
@@ -76,10 +77,17 @@
         return inquirySinceMillis != UpstreamPath.NEVER;
     }
 
-    void beginInquiry(long nowMillis) {
+    /** Begins an inquiry and returns its number. */
+    int beginInquiry(long nowMillis) {
         inquirySinceMillis = nowMillis;
         inquiryBeganMillis = nowMillis;
         rounds = 0;
+        return ++inquiries;
+    }
+
+    /** Returns whether the inquiry with a number runs. */
+    boolean isInquiry(int number) {
+        return isInquiring() && inquiries == number;
     }
 
     /** Returns whether no byte came for a while, and none was missed so shortly before. */
