--- a/org.cuminspur.test/tst/org/cuminspur/retry/AttemptStateMachineTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/retry/AttemptStateMachineTest.java
@@ -60,6 +60,27 @@
         };
     }
 
+    @Test
+    public void runsGrantedToAnInstanceThatIsLostCount() {
+        AttemptStateMachine machine =
+                new AttemptStateMachine(new RetryConstraints(true, 10, 3), new RetryBudget(), () -> 0);
+        machine.start();
+        assertEquals(machine.grantableRuns(), 2);
+        assertEquals(machine.handle(new AttemptEvent.PeerBroken(2)), new NextStep.Send());
+        assertEquals(machine.grantableRuns(), 1);
+        NextStep last = machine.handle(new AttemptEvent.PeerBroken(1));
+        assertEquals(((NextStep.Refuse) last).refusal().kind(), ErrorKind.UPSTREAM_BROKE);
+    }
+
+    @Test
+    public void requestThatMayHaveRunAtAnInstanceThatIsLostIsNotSentAgainUnlessIdempotent() {
+        AttemptStateMachine machine =
+                new AttemptStateMachine(new RetryConstraints(false, 10, 3), new RetryBudget(), () -> 0);
+        machine.start();
+        NextStep last = machine.handle(new AttemptEvent.PeerBroken(machine.grantableRuns()));
+        assertEquals(((NextStep.Refuse) last).refusal().kind(), ErrorKind.UPSTREAM_BROKE);
+    }
+
     @Test
     public void refusalAfterAnUnknownAttemptStaysUnknown() {
         AttemptStateMachine machine =
--- a/platform.test/tst/org/cuminspur/platform/RouterFleet.java
+++ b/platform.test/tst/org/cuminspur/platform/RouterFleet.java
@@ -23,6 +23,7 @@
     private final StandinStore store;
     private final List<TrafficRouter> routers = new ArrayList<>();
     private final List<Integer> ports = new ArrayList<>();
+    private final List<Integer> peersPorts = new ArrayList<>();
 
     RouterFleet(StandinStore store, int instances) {
         this.store = store;
@@ -40,9 +41,11 @@
     int start(String domain, int storePort) {
         int registered = store.count(INSTANCE_PREFIX);
         int port = freePort();
+        int peersPort = freePort();
         ports.add(port);
+        peersPorts.add(peersPort);
         Either<?, TrafficSettings> settings = TrafficSettingsParser.parse(
-                "settings", InstanceSettings.text("router-" + port, domain, port, freePort(), freePort(), storePort));
+                "settings", InstanceSettings.text("router-" + port, domain, port, freePort(), peersPort, storePort));
         routers.add(TrafficRouter.start(
                 settings.get(), Main.platform(settings.get(), (event, fields) -> {}), (event, fields) -> {}));
         Deployment.await("registered", () -> store.count(INSTANCE_PREFIX) > registered);
@@ -60,6 +63,11 @@
         return ports.get(instance);
     }
 
+    /** Returns the port at which an instance receives requests of other instances. */
+    int peersPort(int instance) {
+        return peersPorts.get(instance);
+    }
+
     @Override
     public void close() {
         routers.forEach(TrafficRouter::close);
