--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.cuminspur.standin.users.OperatorConfigBuilder;
@@ -119,6 +120,18 @@
         servers.forEach(Server::close);
         store.close();
         record.close();
+        deleteWork();
+    }
+
+    private void deleteWork() {
+        try (java.util.stream.Stream<Path> files = Files.list(work)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+            Files.delete(work);
+        } catch (IOException e) {
+            System.err.println("cannot delete " + work + ": " + e);
+        }
     }
 
     /** Ends the program with the exit code of a case. */
@@ -290,6 +303,7 @@
         private final String service;
         private final String zone;
         private final java.util.Set<Socket> open = ConcurrentHashMap.newKeySet();
+        private final AtomicBoolean down = new AtomicBoolean();
         private volatile ServerSocket socket;
         private volatile String version;
         volatile Behaviour behaviour;
@@ -342,6 +356,22 @@
             harness.record(id + " is back with " + version + ", its entry is written");
         }
 
+        /** Crashes, unless it is down already, and is back after a time; returns whether it crashed. */
+        boolean crash(long downMillis) {
+            if (!down.compareAndSet(false, true)) {
+                return false;
+            }
+            Harness.start(() -> {
+                try {
+                    restart(version, downMillis);
+                } catch (IOException e) {
+                    harness.record(id + " does not come back: " + e);
+                }
+                down.set(false);
+            });
+            return true;
+        }
+
         private void listen(ServerSocket on) {
             Harness.start(() -> {
                 while (!on.isClosed()) {
