--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -337,8 +337,12 @@
                             .replace("\"born\":1", "\"born\":" + System.currentTimeMillis()));
         }
 
-        /** Ends as a killed process does, and starts again under the same id at the same address. */
-        void restart(String nextVersion, long downMillis) throws IOException {
+        /**
+         * Ends as a killed process does, and starts again under the same id at the same address.
+         *
+         * @param registerMillis time until it writes its entry once it listens
+         */
+        void restart(String nextVersion, long downMillis, long registerMillis) throws IOException {
             int port = port();
             harness.record(id + " (" + version + ") ends");
             socket.close();
@@ -352,8 +356,10 @@
             next.bind(new InetSocketAddress("127.0.0.1", port), 200);
             socket = next;
             listen(next);
+            harness.record(id + " is back with " + version);
+            Harness.sleep(registerMillis);
             register();
-            harness.record(id + " is back with " + version + ", its entry is written");
+            harness.record(id + " has written its entry");
         }
 
         /** Crashes, unless it is down already, and is back after a time; returns whether it crashed. */
@@ -363,7 +369,7 @@
             }
             Harness.start(() -> {
                 try {
-                    restart(version, downMillis);
+                    restart(version, downMillis, 0);
                 } catch (IOException e) {
                     harness.record(id + " does not come back: " + e);
                 }
--- a/review/src/InPlaceUpgrade.java
+++ b/review/src/InPlaceUpgrade.java
@@ -15,6 +15,10 @@
     private static final long EVENT_GAP_MS = 100;
     private static final int STREAMS = 24;
     private static final long DOWN_MS = 50;
+
+    /** Time until a server that has started registers; below a heartbeat, which is 1,200 ms. */
+    private static final long REGISTER_MS = 200;
+
     private static final long RETRY_DELAY_MS = 100;
     private static final int DEADLINE_MS = 15_000;
 
@@ -54,7 +58,7 @@
         }
         Harness.sleep(1_500);
         if (Harness.TROUBLE) {
-            last.restart("v2", DOWN_MS);
+            last.restart("v2", DOWN_MS, REGISTER_MS);
         }
         for (Thread client : clients) {
             client.join(30_000);
