--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -30,6 +30,7 @@
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     static final String HOST = OperatorConfigBuilder.HOST;
     private static final long START_NANOS = System.nanoTime();
+    private static final long LONGEST_RUN_MS = 110_000;
 
     final StandinStore store = new StandinStore();
     final OperatorConfigBuilder config = new OperatorConfigBuilder();
@@ -44,6 +45,11 @@
         work = Files.createTempDirectory("review");
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         record("TROUBLE=" + (TROUBLE ? 1 : 0));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> routers.forEach(Router::kill)));
+        start(() -> {
+            sleep(LONGEST_RUN_MS);
+            end(2, "the case did not end in time");
+        });
     }
 
     static long now() {
