Log when, why and how an attempt is given up, and slow reads of the store

What callers saw: requests that had timed out reached upstreams after these had left. The log could not tell whether the attempt was still wanted, what was believed of the upstream, or how the connection was ended; nor when a read of changes was sent that came back late.

UpstreamState keeps what is believed of the process and since when, also after its entry is gone.

No decision changes.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
@@ -98,7 +98,8 @@
     /** Records what the upstream says of itself, also in a response to another request that comes late. */
     void withdrawn(UpstreamExchange<UpstreamState> exchange, ResponseMetadata metadata) {
         metadata.pause().ifPresent(pause -> pause(exchange.destination(), pause));
-        if (metadata.leaving() && exchange.destination().recordLeaving()) {
+        if (metadata.leaving()
+                && exchange.destination().recordLeaving(context.clock().millis())) {
             log.upstreamLeaves(exchange.destination());
         }
     }
--- /dev/null
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/GiveUpReason.java
@@ -0,0 +1,17 @@
+package org.cuminspur.router.internal.traffic;
+
+/** Why an instance ends an attempt that has not ended by itself; immutable. */
+enum GiveUpReason {
+    /** The request's time is up. */
+    DEADLINE,
+    /** The caller disconnected. */
+    CALLER_GONE,
+    /** The instance found itself cut off from the service. */
+    CUT_OFF,
+    /** The request, or a part of its prompt, may crash upstreams. */
+    QUARANTINED,
+    /** The response is of another request. */
+    FOREIGN_RESPONSE,
+    /** The resumed stream lacks events. */
+    STREAM_GAP
+}
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
@@ -55,6 +55,7 @@
     private final ServiceId service;
     private final PeerInstance peer;
     private final int runs;
+    private final RequestLog log;
     private final Listener listener;
     private final UpstreamExchange<PeerInstance> exchange;
     private final long sentMillis;
@@ -72,12 +73,14 @@
             ServiceId service,
             PeerInstance peer,
             int runs,
+            RequestLog log,
             Listener listener) {
         this.context = context;
         this.call = call;
         this.service = service;
         this.peer = peer;
         this.runs = runs;
+        this.log = log;
         this.listener = listener;
         this.sentMillis = context.clock().millis();
         this.exchange = new UpstreamExchange<>(peer, context.connections(), context.buffer(), this);
@@ -94,8 +97,9 @@
     }
 
     /** Ends the attempt, which ends the request at the other instance. */
-    void cancel() {
+    void cancel(GiveUpReason reason) {
         exchange.cancel();
+        log.peerAttemptGivenUp(exchange, reason, context.clock().millis() - sentMillis);
         end();
     }
 
@@ -136,14 +140,14 @@
         ResponseMetadata metadata = context.headerCodec().decodeAnswer(status, headers);
         if (!metadata.belongsTo(call.requestId(), status < REDIRECTION)
                 || context.headerCodec().impliesNotRun(status)) {
-            exchange.cancel();
+            cancel(GiveUpReason.FOREIGN_RESPONSE);
             fail("foreign-answer", new AttemptEvent.PeerBroken(runs));
             return;
         }
         responded = true;
         PeerHeaders.upstream(headers).flatMap(context.upstreams()::find).ifPresent(upstream -> {
             context.rateLimits().recordResponse(upstream, sentMillis, metadata.limit());
-            if (metadata.leaving() && upstream.recordLeaving()) {
+            if (metadata.leaving() && upstream.recordLeaving(context.clock().millis())) {
                 context.events()
                         .emit("upstream-leaves", "upstream", upstream.id().value());
             }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerForwarding.java
@@ -60,7 +60,7 @@
         PeerInstance peer = chosen.get();
         tried.add(peer.id());
         log.sentThroughPeer(routed, peer, runs, leftMillis);
-        attempt = new PeerAttempt(context, call, routed.service(), peer, runs, this);
+        attempt = new PeerAttempt(context, call, routed.service(), peer, runs, log, this);
         attempt.start(UpstreamRequests.createForPeer(exchange, body.length, context.headerCodec(), leftMillis), body);
     }
 
@@ -72,9 +72,9 @@
     }
 
     /** Ends the attempt in progress, which ends the request at the other instance. */
-    void cancel() {
+    void cancel(GiveUpReason reason) {
         if (attempt != null) {
-            attempt.cancel();
+            attempt.cancel(reason);
             attempt = null;
         }
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -170,7 +170,7 @@
     @Override
     public void disconnected() {
         if (!finished) {
-            cancelAttempt();
+            cancelAttempt(GiveUpReason.CALLER_GONE);
             finish("caller-gone", response.framing(), BodyEnd.BROKEN);
             response.abort();
         }
@@ -178,7 +178,7 @@
 
     private void deadlinePassed() {
         if (!finished) {
-            cancelAttempt();
+            cancelAttempt(GiveUpReason.DEADLINE);
             handle(
                     response.begun()
                             ? new AttemptEvent.TimedOutDuringAnswer()
@@ -211,9 +211,9 @@
         response.abort();
     }
 
-    private void cancelAttempt() {
-        upstreams.cancel();
-        peers.cancel();
+    private void cancelAttempt(GiveUpReason reason) {
+        upstreams.cancel(reason);
+        peers.cancel(reason);
     }
 
     private void finish(String outcome, BodyFraming framing, BodyEnd end) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestLog.java
@@ -219,6 +219,50 @@
                         afterMillis);
     }
 
+    /** Logs that this instance ended an attempt at an upstream that had not ended by itself. */
+    void attemptGivenUp(UpstreamExchange<UpstreamState> exchange, GiveUpReason reason, long afterMillis) {
+        UpstreamState upstream = exchange.destination();
+        Object[] belief = {
+            "upstream",
+            upstream.id().value(),
+            "standing",
+            ResponseEndCounters.label(upstream.standing()),
+            "standingMillis",
+            context.clock().millis() - upstream.standingSinceMillis(),
+            "viewAgeMillis",
+            viewAge(context.freshness())
+        };
+        givenUp("attempt", exchange, reason, afterMillis, belief);
+    }
+
+    /** Logs that this instance ended an attempt through another instance. */
+    void peerAttemptGivenUp(UpstreamExchange<PeerInstance> exchange, GiveUpReason reason, long afterMillis) {
+        Object[] peer = {"peer", exchange.destination().id().value()};
+        givenUp("peer-attempt", exchange, reason, afterMillis, peer);
+    }
+
+    private void givenUp(
+            String kind, UpstreamExchange<?> exchange, GiveUpReason reason, long afterMillis, Object[] fields) {
+        String label = ResponseEndCounters.label(reason);
+        context.metrics().counter(kind + "s.given-up." + label).inc();
+        Object[] attempt = {
+            "request",
+            call.requestId(),
+            "reason",
+            label,
+            "progress",
+            ResponseEndCounters.label(exchange.progress()),
+            "connection",
+            ResponseEndCounters.label(exchange.connectionEnd()),
+            "afterMillis",
+            afterMillis
+        };
+        context.events()
+                .emit(
+                        kind + "-given-up",
+                        Stream.of(attempt, fields).flatMap(Stream::of).toArray());
+    }
+
     void upstreamLeftOut(UpstreamState upstream, String cause) {
         context.metrics().counter("upstreams.left-out").inc();
         context.events()
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -81,6 +81,7 @@
     private boolean refused;
     private BodyFraming framing = BodyFraming.NONE;
     private BodyEnd end = BodyEnd.NONE;
+    private ConnectionEnd connectionEnd = ConnectionEnd.NONE;
 
     /**
      * Creates an exchange without starting it.
@@ -103,6 +104,19 @@
         return connection != null;
     }
 
+    ExchangeProgress progress() {
+        if (source != null) {
+            return ExchangeProgress.RESPONDING;
+        } else if (requestWritten) {
+            return ExchangeProgress.SENT;
+        }
+        return isSent() ? ExchangeProgress.SENDING : ExchangeProgress.CONNECTING;
+    }
+
+    ConnectionEnd connectionEnd() {
+        return connectionEnd;
+    }
+
     /** Returns whether the connection had served before. */
     boolean reused() {
         return reused;
@@ -313,6 +327,7 @@
         connection.getCloseSetter().set(null);
         if (keepAliveMillis > 0) {
             // One event-loop turn later, bytes that follow the response have closed the connection.
+            connectionEnd = ConnectionEnd.KEPT;
             connection.getIoThread().execute(() -> connections.release(destination, connection, keepAliveMillis));
         } else {
             abort();
@@ -348,6 +363,7 @@
 
     private void abort() {
         if (connection != null) {
+            connectionEnd = ConnectionEnd.CLOSED;
             connection.getCloseSetter().set(null);
             ClientConnections.abort(connection);
         }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -80,13 +80,18 @@
     }
 
     /** Ends the attempt in progress, which ends the request at the upstream. */
-    void cancel() {
+    void cancel(GiveUpReason reason) {
         if (upstreamExchange != null) {
-            upstreamExchange.cancel();
-            detach(upstreamExchange);
+            giveUp(upstreamExchange, reason);
         }
     }
 
+    private void giveUp(UpstreamExchange<UpstreamState> attempt, GiveUpReason reason) {
+        attempt.cancel();
+        log.attemptGivenUp(attempt, reason, outcomes.sinceSentMillis(now()));
+        detach(attempt);
+    }
+
     /** Returns the number of upstreams that the request was sent to. */
     int attempts() {
         return tried.size();
@@ -152,8 +157,7 @@
         ResponseMetadata metadata = context.headerCodec().decodeAnswer(responseStatus, headers);
         outcomes.withdrawn(from, metadata);
         if (!metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION)) {
-            from.cancel();
-            detach(from);
+            giveUp(from, GiveUpReason.FOREIGN_RESPONSE);
             outcomes.failed(from, "foreign-answer", now());
             attemptFailed(from, "foreign-answer", responseStatus, brokenEvent());
             return;
@@ -217,8 +221,7 @@
         }
         response.write(relayed);
         if (response.hasGap()) {
-            from.cancel();
-            detach(from);
+            giveUp(from, GiveUpReason.STREAM_GAP);
             listener.abort("stream-gap");
         }
     }
@@ -276,14 +279,14 @@
     public void cutOff() {
         boolean sent = upstreamExchange.isSent();
         if (!response.begun() && (!sent || routed.route().idempotent())) {
-            cancel();
+            cancel(GiveUpReason.CUT_OFF);
             listener.handle(sent ? brokenEvent() : new AttemptEvent.NotConnected());
         }
     }
 
     @Override
     public void quarantined() {
-        cancel();
+        cancel(GiveUpReason.QUARANTINED);
         repeatOrEnd(false);
     }
 
--- a/org.cuminspur.test/tst/org/cuminspur/traffic/UpstreamWithdrawalTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/UpstreamWithdrawalTest.java
@@ -23,15 +23,15 @@
 
     @Test
     public void upstreamThatLeavesStaysOutWhateverItsEntrySays() {
-        assertTrue(one().recordLeaving());
-        assertFalse(one().recordLeaving());
+        assertTrue(one().recordLeaving(0));
+        assertFalse(one().recordLeaving(0));
         pool.update(TrafficFixtures.view(2, TrafficFixtures.upstream("one", 1, "v1")), NOW_MS);
         assertFalse(one().acceptsNewWork());
     }
 
     @Test
     public void newStartOfAnUpstreamThatLeftTakesRequests() {
-        one().recordLeaving();
+        one().recordLeaving(0);
         pool.update(TrafficFixtures.view(1, TrafficFixtures.upstream("one", 2, "v1")), NOW_MS);
         assertTrue(one().acceptsNewWork());
         assertEquals(one().entry().startedMillis(), 2);
@@ -78,7 +78,7 @@
         pool.update(TrafficFixtures.view(3, TrafficFixtures.upstream("one", 1, "v1")), NOW_MS + 200);
         assertEquals(one().leftOutMillis(NOW_MS + 500), 1_500);
         before.pause(4_000, NOW_MS + 500);
-        before.recordLeaving();
+        before.recordLeaving(0);
         assertEquals(one().leftOutMillis(NOW_MS + 500), 4_000);
         assertFalse(one().acceptsNewWork());
     }
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetWatcher.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetWatcher.java
@@ -42,6 +42,9 @@
     /** Time after which the store is asked again for changes that it did not give. */
     private static final long BEHIND_POLL_MS = 150;
 
+    /** Time from the start of a call for changes after which its reply is logged. */
+    private static final long LATE_REPLY_MS = 500;
+
     /** Time over which the instances of a fleet spread reads of all keys, as a share of their interval. */
     private static final double READ_SPREAD_SHARE = 0.5;
 
@@ -191,6 +194,7 @@
         }
         availability.recordReply();
         StoreChanges changes = reply.get();
+        emitIfLate(readStart, changes);
         if (settlement.isEarlierEra(changes.revision())) {
             return;
         }
@@ -210,6 +214,23 @@
         }
     }
 
+    private void emitIfLate(ViewFreshness.ClockReading readStart, StoreChanges changes) {
+        long millis = context.clock().millis() - readStart.steadyMillis();
+        if (millis >= LATE_REPLY_MS) {
+            context.events()
+                    .emit(
+                            "changes-late",
+                            "millis",
+                            millis,
+                            "revision",
+                            changes.revision().number(),
+                            "applied",
+                            appliedRevision.number(),
+                            "entries",
+                            changes.entries().size());
+        }
+    }
+
     private void applyChanges(StoreChanges changes) {
         List<StoreEntry> newer = changes.entries().stream()
                 .filter(entry -> entry.modRevision().isAfter(loadedRevision))
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamPool.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamPool.java
@@ -79,6 +79,7 @@
             UpstreamEntry entry = newView.upstreams().get(state.id());
             boolean ended = entry == null || !entry.sameProcess(state.entry());
             if (ended) {
+                state.recordRemoved(nowMillis);
                 onRemoved.accept(state);
             }
             return ended;
@@ -125,7 +126,7 @@
                 state.assumeCold(nowMillis, limits.warmupMillis());
             }
         }
-        state.setDomainDrained(drained);
+        state.setDomainDrained(drained, nowMillis);
     }
 
     /** Returns what a process said of itself, also before its entry lapsed. */
--- a/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/UpstreamState.java
@@ -50,6 +50,8 @@
     private double otherLoadAtNotice;
     private long noticedMillis = Long.MIN_VALUE;
     private long unreachableMillis = Long.MIN_VALUE;
+    private UpstreamStanding standing = UpstreamStanding.READY;
+    private long standingSinceMillis;
     private Optional<NamedLimit> namedLimit = Optional.empty();
     private long leftOutUntilMillis = Long.MIN_VALUE / 2;
     private boolean invalidPauseSeen;
@@ -58,9 +60,20 @@
         this.entry = entry;
         this.withdrawal = withdrawal;
         this.hash = Rendezvous.hash(entry.id().value());
+        this.standingSinceMillis = nowMillis;
         update(entry, nowMillis);
     }
 
+    /** Returns what is believed of its process. */
+    public UpstreamStanding standing() {
+        return standing;
+    }
+
+    /** Returns when that came to be believed. */
+    public long standingSinceMillis() {
+        return standingSinceMillis;
+    }
+
     /** Returns the upstream's latest entry. */
     public UpstreamEntry entry() {
         return entry;
@@ -133,8 +146,30 @@
     }
 
     /** Records that it said in a response that it leaves; returns whether that is new. A process never takes it back. */
-    public boolean recordLeaving() {
-        return withdrawal.recordLeaving();
+    public boolean recordLeaving(long nowMillis) {
+        boolean first = withdrawal.recordLeaving();
+        updateStanding(nowMillis);
+        return first;
+    }
+
+    /** Records that its entry is gone, or names a later process; what remains are requests in progress. */
+    void recordRemoved(long nowMillis) {
+        changeStanding(UpstreamStanding.GONE, nowMillis);
+    }
+
+    private void updateStanding(long nowMillis) {
+        if (standing != UpstreamStanding.GONE) {
+            boolean leaving = entry.draining() || withdrawal.isLeaving();
+            UpstreamStanding kept = domainDrained ? UpstreamStanding.DOMAIN_DRAINED : UpstreamStanding.READY;
+            changeStanding(leaving ? UpstreamStanding.LEAVING : kept, nowMillis);
+        }
+    }
+
+    private void changeStanding(UpstreamStanding next, long nowMillis) {
+        if (next != standing) {
+            standing = next;
+            standingSinceMillis = nowMillis;
+        }
     }
 
     /** Returns whether it is known or assumed to be cold. */
@@ -261,6 +296,7 @@
             coldUntilMillis =
                     Math.max(coldUntilMillis, nowMillis + newEntry.remainingWarmupMillis() + MAX_ENTRY_AGE_MS);
         }
+        updateStanding(nowMillis);
     }
 
     void setRateShares(int cold, int warm) {
@@ -277,8 +313,9 @@
         expectedShare = share;
     }
 
-    void setDomainDrained(boolean drained) {
+    void setDomainDrained(boolean drained, long nowMillis) {
         domainDrained = drained;
+        updateStanding(nowMillis);
     }
 
     boolean domainDrained() {
