Failing tests: a request that was given up arrives after all

What callers saw: their requests timed out, and reached an upstream that had left since.

CutLink now models a cut as a network does: what was sent is held back and arrives later, and is lost if its sender resets the connection.

--- /dev/null
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/GivenUpCallTest.java
@@ -0,0 +1,116 @@
+package org.cuminspur.router;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.cuminspur.http.client.CallFault;
+import org.cuminspur.http.client.Cancellation;
+import org.cuminspur.http.client.HttpCall;
+import org.cuminspur.http.client.HttpClient;
+import org.cuminspur.http.client.HttpResponse;
+import org.cuminspur.standin.raw.RawUpstream;
+import org.cuminspur.standin.users.CutLink;
+import org.cuminspur.time.Clock;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Checks that a call which was given up never arrives; calls to the store and the own interface's requests are such calls. */
+public class GivenUpCallTest {
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final long TIMEOUT_MS = 400;
+    private static final long ARRIVAL_MS = 500;
+
+    private final List<String> received = new CopyOnWriteArrayList<>();
+    private final List<String> ends = new CopyOnWriteArrayList<>();
+    private RawUpstream upstream;
+    private CutLink link;
+    private HttpClient http;
+
+    @BeforeMethod
+    public void start() {
+        upstream = new RawUpstream(connection -> {
+            for (String head = connection.readRequest(); !head.isEmpty(); head = connection.readRequest()) {
+                received.add(head.split(" ")[1]);
+                connection.sendAnswers("done");
+            }
+            ends.add("in order");
+        });
+        link = new CutLink(upstream.port());
+        http = new HttpClient(Clock.system(), 1, CONNECT_TIMEOUT_MS);
+        assertTrue(call("/before").isRight());
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        http.close();
+        link.close();
+        upstream.close();
+        received.clear();
+        ends.clear();
+    }
+
+    @DataProvider
+    public Object[][] bodies() {
+        return new Object[][] {{0}, {1_000}, {1_000_000}};
+    }
+
+    /** Listed in KNOWN-RED.txt. */
+    @Test(dataProvider = "bodies", groups = "known-red")
+    public void timedOutCallNeverArrives(int bytes) throws InterruptedException {
+        link.mode(CutLink.Mode.HANG);
+        assertEquals(http.call(write("/held", bytes), TIMEOUT_MS), Either.left(CallFault.TIMED_OUT));
+        assertNothingArrives();
+    }
+
+    /** Listed in KNOWN-RED.txt. */
+    @Test(groups = "known-red")
+    public void cancelledCallNeverArrives() throws InterruptedException {
+        link.mode(CutLink.Mode.HANG);
+        Cancellation cancellation = new Cancellation();
+        Thread canceller = new Thread(() -> {
+            pause(TIMEOUT_MS);
+            cancellation.cancel();
+        });
+        canceller.start();
+        assertTrue(http.open(write("/held", 2), 10 * TIMEOUT_MS, cancellation).isLeft());
+        assertNothingArrives();
+    }
+
+    @Test
+    public void idleConnectionIsClosedInOrder() {
+        http.close();
+        pause(ARRIVAL_MS);
+        assertEquals(ends, List.of("in order"));
+    }
+
+    private void assertNothingArrives() {
+        pause(TIMEOUT_MS);
+        link.mode(CutLink.Mode.WHOLE);
+        pause(ARRIVAL_MS);
+        assertEquals(received, List.of("/before"));
+        assertTrue(call("/after").isRight());
+        assertEquals(received, List.of("/before", "/after"));
+    }
+
+    private HttpCall write(String path, int bytes) {
+        return new HttpCall("POST", "127.0.0.1", link.port(), path, List.of(), new byte[bytes], false);
+    }
+
+    private Either<CallFault, HttpResponse> call(String path) {
+        return http.call(write(path, 2), CONNECT_TIMEOUT_MS);
+    }
+
+    private static void pause(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
@@ -1,5 +1,6 @@
 package org.cuminspur.standin.users;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -25,7 +26,10 @@
     /** What happens to connections. */
     public enum Mode {
         WHOLE,
-        /** Open connections and new ones hang. */
+        /**
+         * Open connections and new ones hang. What is sent on open ones is held back and arrives when the link is whole again,
+         * unless its sender resets the connection.
+         */
         HANG,
         /** Open connections are reset, new ones hang. */
         RESET,
@@ -43,6 +47,9 @@
     private static final int BUFFER_BYTES = 16 * 1_024;
     private static final int POLL_MS = 5;
 
+    /** Bytes of one connection that a link takes while it hangs; the rest stays with the sender, as a window bounds it. */
+    private static final int MAX_HELD_BYTES = 64 * 1_024;
+
     /** Time in which a connection is made on the loopback address unless the queue of connections is full. */
     private static final int FULL_MS = 60;
 
@@ -164,28 +171,59 @@
     }
 
     private void pump(Socket from, Socket to) {
+        ByteArrayOutputStream held = new ByteArrayOutputStream();
         byte[] buffer = new byte[BUFFER_BYTES];
-        try (from;
-                to) {
+        try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
-            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                while (mode == Mode.HANG && !closed) {
-                    sleep(POLL_MS);
+            for (int count = 0; count >= 0; count = read(from, in, buffer, held.size())) {
+                held.write(buffer, 0, count);
+                // What was held back is passed on only once its sender's kernel has nothing left, a reset included.
+                if (mode != Mode.HANG && (count == 0 || count == held.size())) {
+                    held.writeTo(out);
+                    held.reset();
                 }
-                out.write(buffer, 0, count);
-                out.flush();
             }
+            while (mode == Mode.HANG && !closed) {
+                sleep(POLL_MS);
+            }
+            held.writeTo(out);
+            end(from, to);
         } catch (IOException e) {
-            // One side is gone, so the other one is told in the same way.
-            reset(from);
-            reset(to);
-        } finally {
+            if (mode == Mode.HANG || held.size() > 0) {
+                // The sender's reset drops the bytes that were held back, and is itself lost in the cut.
+                reset(from);
+            } else {
+                reset(from);
+                reset(to);
+                open.remove(to);
+            }
             open.remove(from);
-            open.remove(to);
         }
     }
 
+    /** Reads what has arrived; returns 0 if bytes are held back and no more have arrived for a moment. */
+    private int read(Socket from, InputStream in, byte[] buffer, int held) throws IOException {
+        if (mode == Mode.HANG && held >= MAX_HELD_BYTES) {
+            sleep(POLL_MS);
+            return 0;
+        }
+        try {
+            from.setSoTimeout(held > 0 ? POLL_MS : 0);
+            return in.read(buffer);
+        } catch (SocketTimeoutException e) {
+            // Bytes that are held back may have to be passed on now.
+            return 0;
+        }
+    }
+
+    private void end(Socket from, Socket to) throws IOException {
+        to.close();
+        from.close();
+        open.remove(from);
+        open.remove(to);
+    }
+
     private static ServerSocket listen() {
         while (true) {
             int candidate = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/UpstreamLinks.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/UpstreamLinks.java
@@ -33,6 +33,12 @@
         links.values().parallelStream().forEach(link -> link.mode(next));
     }
 
+    /** Leaves the link to one upstream whole while the others are cut. */
+    public void whole(int port) {
+        CutLink link = new CutLink(port);
+        links.put(port, link);
+    }
+
     /** Refuses connections to an upstream whose process has ended, as its own port does. */
     public void ended(int port) {
         Optional.ofNullable(links.get(port)).ifPresent(CutLink::close);
