Do not take a slow reply of the store for an outage

Cause: an entry that vanishes in an outage of the store, or within a grace period after it, is kept, since it may have lapsed and be written again. The instance took the time between two replies for silence. A configuration of 1,849 routes is 0.49 MB and its read takes 0.6 to 0.9 s on a link of a small machine; with an interval of 1.44 s the second reply came 1.7 to 2.0 s after the first, which counted as an outage and a return (dependency-regained). An upstream that leaves without saying that it drains, whose entry is removed, was therefore kept for another grace period.

Ruled out: that the reads were too old (the reply at 23.16 s ends with revision 97, the removal came earlier); a disturbance of the store (none stands in that span).

Change: silence ends when the call that was answered was made. In an outage that lets entries lapse, which takes 3 s, calls fail after 1.2 s and the next one is made later than that.

FleetWatcherTest.upstreamRemovedAsRepliesTurnSlowIsDroppedWithinTheChangeBound failed before; entryLapsedInAnOutageIsKeptIfTheNextReplyIsSlow guards the other side and held before and after.

--- a/org.cuminspur.test/tst/org/cuminspur/traffic/FleetWatcherTest.java
+++ b/org.cuminspur.test/tst/org/cuminspur/traffic/FleetWatcherTest.java
@@ -110,6 +110,31 @@
         assertFalse(view.upstreams().containsKey(ONE));
     }
 
+    /** Guards against slow replies that are taken for an outage in which entries lapse. */
+    @Test
+    public void upstreamRemovedAsRepliesTurnSlowIsDroppedWithinTheChangeBound() {
+        for (int i = 0; i < 83; i++) {
+            write("instance/i" + i, "a");
+        }
+        time.advance(20_000);
+        store.faults().delay(480, 490);
+        remove("upstream/one");
+        time.advance(TrafficFixtures.BOUNDS.maxChangeDelayMillis());
+        assertFalse(view.upstreams().containsKey(ONE));
+    }
+
+    /** Guards against an outage that goes unnoticed since the first reply after it is slow. */
+    @Test
+    public void entryLapsedInAnOutageIsKeptIfTheNextReplyIsSlow() {
+        store.faults().outage(true);
+        time.advance(4_000);
+        remove("upstream/one");
+        store.faults().outage(false);
+        store.faults().delay(400, 450);
+        time.advance(1_800);
+        assertTrue(view.upstreams().containsKey(ONE), "dropped before the grace time ended");
+    }
+
     @Test
     public void constantChangeTakesOneCallInEachInterval() {
         for (int i = 0; i < 83; i++) {
--- a/org.cuminspur/src/org/cuminspur/traffic/FleetWatcher.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/FleetWatcher.java
@@ -192,7 +192,7 @@
             availability.recordFailureAndRetry(this::poll);
             return;
         }
-        availability.recordReply();
+        availability.recordReply(readStart.steadyMillis());
         StoreChanges changes = reply.get();
         emitIfLate(readStart, changes);
         if (settlement.isEarlierEra(changes.revision())) {
@@ -277,7 +277,7 @@
             availability.recordFailureAndRetry(this::load);
             return;
         }
-        availability.recordReply();
+        availability.recordReply(readStart.steadyMillis());
         StoreView view = reply.get();
         behindSinceMillis = Long.MAX_VALUE;
         if (!loadedRevision.isAfter(view.revision())) {
--- a/org.cuminspur/src/org/cuminspur/traffic/StoreAvailability.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/StoreAvailability.java
@@ -49,11 +49,18 @@
         expectedIntervalMillis = millis;
     }
 
-    /** Records a reply. */
-    void recordReply() {
+    /**
+     * Records a reply.
+     *
+     * <p>The time that its call took is no silence: a reply with a large configuration takes seconds on a slow link, and in an
+     * outage the call would have failed.
+     *
+     * @param callStartMillis when the call was made
+     */
+    void recordReply(long callStartMillis) {
         long now = context.clock().millis();
         retryMillis = INITIAL_RETRY_MS;
-        if (unavailable || overdue(now)) {
+        if (unavailable || overdue(callStartMillis)) {
             lastReturnMillis = now;
             context.events().emit("dependency-regained", "dependency", "store", "silentMillis", now - lastReplyMillis);
             onReturn.accept(now + context.bounds().reregistrationGraceMillis());
@@ -97,7 +104,7 @@
         return Math.max(now, expiryMillis);
     }
 
-    private boolean overdue(long now) {
-        return now - lastReplyMillis > expectedIntervalMillis + UNAVAILABLE_AFTER_MS;
+    private boolean overdue(long millis) {
+        return millis - lastReplyMillis > expectedIntervalMillis + UNAVAILABLE_AFTER_MS;
     }
 }
