Repeat the write of a registration with the same lease

What callers would see: an instance that serves, but that the others no longer know, so that it gets no requests of cut instances, no permits and no share of cold upstreams.

Cause: a write that was given up was followed by one with a new lease. If the first lands last (a call without a reply may be run seconds later), the key is bound to a lease that nobody renews, and vanishes 12 s later while the other lease goes on being renewed.

InstanceRegistrationTest failed before at second 12, and holds now.

--- a/org.cuminspur/src/org/cuminspur/traffic/InstanceRegistration.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/InstanceRegistration.java
@@ -75,21 +75,34 @@
 
     private void onLeaseGranted(Either<StoreFault, StoreLease> reply) {
         if (reply.isLeft()) {
-            retryAfterFailure("grant", reply.getLeft());
+            retryAfterFailure("grant", reply.getLeft(), this::startUnlessStopped);
             return;
         }
-        StoreLease lease = reply.get();
-        Txn txn = new Txn(List.of(), List.of(new Txn.Put(key, value, lease)), List.of());
-        store.commit(
-                txn,
-                written -> timer.schedule(0, () -> {
-                    if (written.isLeft() || !isWrittenWith(lease, written.get())) {
-                        retryAfterFailure("write", written.isLeft() ? written.getLeft() : StoreFault.NOT_DONE);
-                    } else {
-                        events.emit("instance-registered", "key", key, "lease", lease.id());
-                        timer.schedule(RENEW_INTERVAL_MS, () -> renew(lease));
-                    }
-                }));
+        write(reply.get());
+    }
+
+    /**
+     * Writes the key with a lease, again and again until the store has answered.
+     *
+     * <p>A write that was given up may land later. It must not bind the key to another lease than the one that is renewed, so
+     * it is repeated with the same one.
+     */
+    private void write(StoreLease lease) {
+        if (!stopped) {
+            Txn txn = new Txn(List.of(), List.of(new Txn.Put(key, value, lease)), List.of());
+            store.commit(txn, written -> timer.schedule(0, () -> onWritten(lease, written)));
+        }
+    }
+
+    private void onWritten(StoreLease lease, Either<StoreFault, TxnResult> written) {
+        if (written.isLeft()) {
+            retryAfterFailure("write", written.getLeft(), () -> write(lease));
+        } else if (!isWrittenWith(lease, written.get())) {
+            retryAfterFailure("write", StoreFault.NOT_DONE, this::startUnlessStopped);
+        } else {
+            events.emit("instance-registered", "key", key, "lease", lease.id());
+            timer.schedule(RENEW_INTERVAL_MS, () -> renew(lease));
+        }
     }
 
     /** Returns whether a write took effect in the era of its lease; in a later one the id may be of another lease. */
@@ -111,9 +124,9 @@
         }
     }
 
-    private void retryAfterFailure(String step, StoreFault fault) {
+    private void retryAfterFailure(String step, StoreFault fault, Runnable retry) {
         events.emit("registration-failed", "step", step, "fault", fault.name());
-        timer.schedule(RETRY_MS + spreadMillis * RETRY_MS / SPREAD_MS, this::startUnlessStopped);
+        timer.schedule(RETRY_MS + spreadMillis * RETRY_MS / SPREAD_MS, retry);
     }
 
     private void startUnlessStopped() {
