Soak: hold bytes back past a cut, and check that nothing given up arrives

The links of the soak kept what was sent in a cut, but stopped reading, and delivered it also after a reset. LinkPump, taken out of CutLink and used by FaultProxy too, does as a network does: bytes are held back and arrive later, an end in order comes after them, a reset drops them.

The new check given-up-never-arrives reports a request that reaches an upstream more than a second after its caller had an answer or had left, whatever was cut; freezes of an instance and faults on the callers' links are left out, in which an instance does not notice it. ChecksTest plants one.

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -77,6 +77,7 @@
             Map.entry("named-limits", LimitChecks::keptByThoseWhoKnow),
             Map.entry("leaving-in-answers-gets-nothing", WithdrawalChecks::leavingGetsNothing),
             Map.entry("pause-in-answers-is-kept", WithdrawalChecks::pauseIsKept),
+            Map.entry("given-up-never-arrives", GivenUpChecks::nothingArrivesLater),
             Map.entry("cut-instances-serve", CutChecks::callersAreServed),
             Map.entry("few-crashing-reach-upstreams", CrashChecks::fewReachUpstreams),
             Map.entry("sound-begin-beside-crashing", CrashChecks::soundOnesBegin));
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/FaultProxy.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/FaultProxy.java
@@ -1,8 +1,6 @@
 package org.cuminspur.soak.internal;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -10,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.cuminspur.standin.Delays;
+import org.cuminspur.standin.users.LinkPump;
 
 /**
  * Passes connections on to a port of the loopback address, or harms them as it is told; thread-safe.
@@ -30,7 +29,6 @@
         RESET
     }
 
-    private static final int BUFFER_BYTES = 16 * 1_024;
     private static final long POLL_MS = 5;
     private static final long SLOW_MS = 120;
     private static final int BACKLOG = 200;
@@ -102,30 +100,15 @@
     }
 
     private void pump(Socket from, Socket to, boolean back) {
-        byte[] buffer = new byte[BUFFER_BYTES];
-        try (from;
-                to) {
-            InputStream in = from.getInputStream();
-            OutputStream out = to.getOutputStream();
-            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
-                awaitNot(Mode.SILENT);
-                if (back) {
-                    awaitNot(Mode.ONE_WAY);
-                }
-                if (mode == Mode.SLOW) {
-                    Delays.sleepMillis(SLOW_MS);
-                }
-                out.write(buffer, 0, count);
-                out.flush();
-            }
-        } catch (IOException e) {
-            // One side is gone, so the other one is told in the same way.
-            reset(from);
-            reset(to);
-        } finally {
-            open.remove(from);
-            open.remove(to);
+        new LinkPump(from, to, () -> holds(back), open).run();
+    }
+
+    /** Returns whether bytes are held back now, after the delay of a slow link. */
+    private boolean holds(boolean back) {
+        if (mode == Mode.SLOW) {
+            Delays.sleepMillis(SLOW_MS);
         }
+        return !server.isClosed() && (mode == Mode.SILENT || (back && mode == Mode.ONE_WAY));
     }
 
     private void awaitNot(Mode held) {
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -60,6 +60,11 @@
                 seen.add(call("1", Kind.LOOK, 1, 100, End.WHOLE, 200));
                 seen.add(new Run("1", Kind.LOOK, "upstream", "north", Operator.ACCOUNT, 110, 1, false, "v1", "1", 0));
             }),
+            row("given-up-never-arrives", seen -> {
+                seen.add(call("1", Kind.LOOK, 1, 100, End.TIMED_OUT, 0));
+                seen.add(new Fault(Plan.Kind.INSTANCE_CUT.name(), INSTANCE, 50, 3_300));
+                seen.add(run("1", Kind.LOOK, 6_300));
+            }),
             row("planned-stop-cuts-nothing", seen -> {
                 seen.add(new Fault(Plan.STOP, INSTANCE, 100, 8_100));
                 seen.add(call("1", Kind.LOOK, 1, 200, End.CUT, 0));
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/CutLink.java
@@ -1,9 +1,6 @@
 package org.cuminspur.standin.users;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -44,12 +41,8 @@
 
     private static final int LAST_PORT = 20_000;
     private static final int BACKLOG = 16;
-    private static final int BUFFER_BYTES = 16 * 1_024;
     private static final int POLL_MS = 5;
 
-    /** Bytes of one connection that a link takes while it hangs; the rest stays with the sender, as a window bounds it. */
-    private static final int MAX_HELD_BYTES = 64 * 1_024;
-
     /** Time in which a connection is made on the loopback address unless the queue of connections is full. */
     private static final int FULL_MS = 60;
 
@@ -171,57 +164,7 @@
     }
 
     private void pump(Socket from, Socket to) {
-        ByteArrayOutputStream held = new ByteArrayOutputStream();
-        byte[] buffer = new byte[BUFFER_BYTES];
-        try {
-            InputStream in = from.getInputStream();
-            OutputStream out = to.getOutputStream();
-            for (int count = 0; count >= 0; count = read(from, in, buffer, held.size())) {
-                held.write(buffer, 0, count);
-                // What was held back is passed on only once its sender's kernel has nothing left, a reset included.
-                if (mode != Mode.HANG && (count == 0 || count == held.size())) {
-                    held.writeTo(out);
-                    held.reset();
-                }
-            }
-            while (mode == Mode.HANG && !closed) {
-                sleep(POLL_MS);
-            }
-            held.writeTo(out);
-            end(from, to);
-        } catch (IOException e) {
-            if (mode == Mode.HANG || held.size() > 0) {
-                // The sender's reset drops the bytes that were held back, and is itself lost in the cut.
-                reset(from);
-            } else {
-                reset(from);
-                reset(to);
-                open.remove(to);
-            }
-            open.remove(from);
-        }
-    }
-
-    /** Reads what has arrived; returns 0 if bytes are held back and no more have arrived for a moment. */
-    private int read(Socket from, InputStream in, byte[] buffer, int held) throws IOException {
-        if (mode == Mode.HANG && held >= MAX_HELD_BYTES) {
-            sleep(POLL_MS);
-            return 0;
-        }
-        try {
-            from.setSoTimeout(held > 0 ? POLL_MS : 0);
-            return in.read(buffer);
-        } catch (SocketTimeoutException e) {
-            // Bytes that are held back may have to be passed on now.
-            return 0;
-        }
-    }
-
-    private void end(Socket from, Socket to) throws IOException {
-        to.close();
-        from.close();
-        open.remove(from);
-        open.remove(to);
+        new LinkPump(from, to, () -> mode == Mode.HANG && !closed, open).run();
     }
 
     private static ServerSocket listen() {
