--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakFleet.java
@@ -255,6 +255,10 @@
     private synchronized void release(Plan.Step step) {
         List<SoakUpstream> service = step.index() % 2 == 0 ? models : apps;
         String name = service == models ? Operator.MODEL : Operator.APP;
+        if (service.isEmpty()) {
+            // All have crashed, and those that take their places have not started yet.
+            return;
+        }
         SoakUpstream old = service.remove(0);
         long coldMillis = service == models ? Checks.COLD_MS : 0;
         service.add(upstream(name + "-new-" + released, name, released, version(++released), coldMillis));
