Survive a lack of memory where an action fails for it

What callers would see: an instance that ran short of memory for a moment goes on, but never reads the store again, and refuses everything once its view is stale.

Cause: FaultBarrier caught no OutOfMemoryError. One on the store's thread ended the call without a reply, and FleetWatcher waits for that reply before it polls again.

Change: the error costs its action and a line, or the action alone if there is no memory for a line.

--- a/org.cuminspur/src/org/cuminspur/event/FaultBarrier.java
+++ b/org.cuminspur/src/org/cuminspur/event/FaultBarrier.java
@@ -1,7 +1,8 @@
 package org.cuminspur.event;
 
 /**
- * Runs actions so that an unexpected failure costs that action only, and a log event, but never the loop around it.
+ * Runs actions so that an unexpected failure costs that action only, and a log event, but never the loop around it. An action
+ * for which there is no memory fails like any other: what it held is free once it has.
  *
  * <p>Immutable and thread-safe.
  */
@@ -24,12 +25,21 @@
         try {
             action.run();
             return true;
-        } catch (RuntimeException | StackOverflowError e) {
-            events.emit(event, "error", describe(e));
+        } catch (RuntimeException | StackOverflowError | OutOfMemoryError e) {
+            report(e);
             return false;
         }
     }
 
+    private void report(Throwable failure) {
+        try {
+            events.emit(event, "error", describe(failure));
+        } catch (OutOfMemoryError e) {
+            // There is no memory for a line either; the loop around the action must go on all the same.
+            return;
+        }
+    }
+
     /** Returns an action that never fails. */
     public Runnable guard(Runnable action) {
         return () -> run(action);
--- a/platform.test/tst/org/cuminspur/platform/StoreReplyTest.java
+++ b/platform.test/tst/org/cuminspur/platform/StoreReplyTest.java
@@ -65,6 +65,22 @@
         }
     }
 
+    /** Guards against a watcher that waits for ever for the reply of a read for which there was no memory. */
+    @Test
+    public void callThatRunsOutOfMemoryIsRepliedTo() throws InterruptedException {
+        HttpClient http = new HttpClient(Clock.system(), 1, 400);
+        EventSink failing = (event, fields) -> {
+            throw new OutOfMemoryError("planted");
+        };
+        PlatformStore store = new PlatformStore(http, new PlatformAddress("127.0.0.1", 1), failing);
+        BlockingQueue<Either<StoreFault, StoreView>> views = new LinkedBlockingQueue<>();
+        for (int i = 0; i < 4; i++) {
+            store.range("", views::add);
+            assertEquals(views.poll(REPLY_TIMEOUT_MS, TimeUnit.MILLISECONDS), Either.left(StoreFault.UNKNOWN));
+        }
+        http.close();
+    }
+
     /** Guards against a watcher that waits for ever for the reply of a read. */
     @Test
     public void replyThatFailsLeavesTheNextCallsTheirReplies() throws InterruptedException {
