Bound the bytes of all request bodies that an instance holds

Change: BodyBudget, a sixth of the heap for all bodies together. A declared body is reserved before it is read, one without a length as it comes; beyond that the request is refused at once as not run (503). A quarter of the budget is kept for bodies up to 16 kB, so that large ones, or ones that never end, do not keep small requests out. Used by both interfaces.

LargeBodiesTest, a process with the deployed heap and 300 unfinished bodies: OutOfMemoryError before with a declared length, no answer to others with chunks; both hold now. BodyBudgetTest.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/CallerHandler.java
@@ -7,6 +7,7 @@
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
 import org.cuminspur.http.client.Cancellation;
+import org.cuminspur.traffic.BodyBudget;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,6 +20,7 @@
 final class CallerHandler implements HttpHandler {
     private static final Logger log = LoggerFactory.getLogger(CallerHandler.class);
 
+    private final BodyBudget bodies = BodyBudget.ofHeap();
     private final RequestPipeline pipeline;
     private final MetricRegistry metrics;
     private final InFlightRequests inFlight;
@@ -54,6 +56,7 @@
         } else {
             new BodyReceiver(
                             exchange,
+                            bodies,
                             () -> onDisconnect(exchange),
                             kind -> EarlyRefusal.send(exchange, Refusal.of(kind), metrics),
                             this::onReceived)
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
@@ -14,6 +14,7 @@
 import org.cuminspur.router.internal.caller.BodyReceiver;
 import org.cuminspur.router.internal.caller.EarlyRefusal;
 import org.cuminspur.router.internal.caller.HeadLimits;
+import org.cuminspur.traffic.BodyBudget;
 import org.cuminspur.traffic.PromptDescription;
 import org.cuminspur.traffic.RequestLimits;
 import org.cuminspur.traffic.RequestMetadata;
@@ -33,6 +34,7 @@
     private static final RequestMetadata UNREAD_CALL = new RequestMetadata(
             "", Optional.empty(), OptionalLong.empty(), PromptDescription.NONE, Optional.empty(), Optional.empty());
 
+    private final BodyBudget bodies = BodyBudget.ofHeap();
     private final TrafficContext context;
 
     TrafficHandler(TrafficContext context) {
@@ -70,6 +72,7 @@
         exchange.setMaxEntitySize(limits.maxBodyBytes());
         new BodyReceiver(
                         exchange,
+                        bodies,
                         () -> EarlyRefusal.close(exchange),
                         kind -> refuse(exchange, Refusal.of(kind)),
                         (same, body) -> received(exchange, call.get(), body, arrivedMillis, grant))
