Answer every request of a planned stop, late ones too

Causes: a request counted as ended before its response was written, so the process exited while it held up to 64 kB of it. A response that is due at the deadline is waited for 120 ms longer and then written, but a request was accepted up to a deadline at the very end. What was still in progress at the end got no answer, and what came while the process exited was read and dropped.

Change: a request is in progress from its head to the last byte of its response. Late in the stop one is accepted only if it ends 300 ms before the end. Before the exit the ports are closed and what comes on open connections is refused as not run. What is still unanswered at the end is answered: not run if nothing of it was sent, otherwise 502, unknown (STOPPED_AFTER_SEND); an answer that has begun is marked as incomplete.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/GiveUpReason.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/GiveUpReason.java
@@ -6,6 +6,8 @@
     DEADLINE,
     /** The caller disconnected. */
     CALLER_GONE,
+    /** The time of a planned stop is over. */
+    INSTANCE_STOPS,
     /** The instance found itself cut off from the service. */
     CUT_OFF,
     /** The upstream leaves and has not sent a byte. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
@@ -92,6 +92,10 @@
         exchange.start(request, body);
     }
 
+    boolean isSent() {
+        return exchange.isSent();
+    }
+
     void pause(boolean pause) {
         exchange.pause(pause);
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerForwarding.java
@@ -79,6 +79,11 @@
         }
     }
 
+    /** Returns whether there is an attempt in progress of which a part may have been sent. */
+    boolean isSent() {
+        return attempt != null && attempt.isSent();
+    }
+
     /** Returns the number of instances that the request was sent through. */
     int attempts() {
         return tried.size();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/RequestForwarder.java
@@ -46,6 +46,7 @@
     private final RequestRouting routing;
     private RoutedCall routed;
     private AttemptStateMachine attempts;
+    private final Runnable stopNow = this::stopNow;
     private XnioExecutor.Key timer;
     private long firstByteMillis = -1;
     private boolean finished;
@@ -78,7 +79,7 @@
     }
 
     void start() {
-        context.stop().requestStarted();
+        context.stop().unanswered(stopNow);
         disconnectMonitor.start();
         routing.route(found -> found.peek(this::startAttempts).peekLeft(this::refuse));
     }
@@ -191,6 +192,19 @@
         }
     }
 
+    /** Ends the request at the end of a planned stop: with an answer that says whether it may have run, if none has begun. */
+    private void stopNow() {
+        if (!finished) {
+            boolean sent = upstreams.isSent() || peers.isSent();
+            cancelAttempt(GiveUpReason.INSTANCE_STOPS);
+            if (attempts == null) {
+                refuse(Refusal.of(ErrorKind.STOPPING));
+            } else {
+                handle(new AttemptEvent.InstanceStops(sent, response.begun()));
+            }
+        }
+    }
+
     private void refuse(Refusal reason) {
         if (finished) {
             return;
@@ -227,7 +241,7 @@
         if (timer != null) {
             timer.remove();
         }
-        context.stop().requestEnded();
+        context.stop().answered(stopNow);
         log.callerResponseEnded(framing, end);
         log.ended(
                 routed,
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/StopState.java
@@ -1,16 +1,28 @@
 package org.cuminspur.router.internal.traffic;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
 /**
- * State of a planned stop and the number of requests in progress; thread-safe.
+ * State of a planned stop and the requests in progress; thread-safe.
  *
- * <p>While stopping, the instance is unready, keeps serving and closes each connection after its response.
+ * <p>While stopping, the instance is unready, keeps serving and closes each connection after its response. A request is in
+ * progress from its head to the last byte of its response, which a slow caller may take long to read.
  */
 final class StopState {
+    /** Time in which a response that is due at a deadline is written, with the time that it is waited for past it. */
+    static final long ANSWER_MARGIN_MS = 300;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** Ends what the requests wait for that have no whole answer yet. */
+    private final Set<Runnable> unanswered = new LinkedHashSet<>();
+
     private int inProgress;
     private long lastEndedNanos = System.nanoTime();
     private volatile boolean stopping;
+    private volatile boolean closed;
     private volatile long unreadyNoticedMillis = Long.MAX_VALUE;
     private volatile long endMillis = Long.MAX_VALUE;
 
@@ -24,6 +36,25 @@
         notifyAll();
     }
 
+    /** Keeps the action that ends a request with an answer at the end of the stop, until {@link #answered}. */
+    synchronized void unanswered(Runnable stopNow) {
+        unanswered.add(stopNow);
+    }
+
+    synchronized void answered(Runnable stopNow) {
+        unanswered.remove(stopNow);
+    }
+
+    /** Returns the actions that end the requests without a whole answer; to be run on the traffic thread. */
+    synchronized List<Runnable> remaining() {
+        return List.copyOf(unanswered);
+    }
+
+    /** Refuses all requests from now on: the process is about to end. */
+    void close() {
+        closed = true;
+    }
+
     boolean stopping() {
         return stopping;
     }
@@ -41,12 +72,12 @@
     }
 
     /**
-     * Returns whether a request is accepted; late in a stop, only if it is certain to end in time.
+     * Returns whether a request is accepted; late in a stop, only if it is certain to end in time, and not at its end.
      *
      * @param deadlineMillis when its response must be complete
      */
     boolean accepts(long arrivedMillis, long deadlineMillis) {
-        return arrivedMillis < unreadyNoticedMillis || deadlineMillis <= endMillis;
+        return !closed && (arrivedMillis < unreadyNoticedMillis || deadlineMillis + ANSWER_MARGIN_MS <= endMillis);
     }
 
     /**
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficHandler.java
@@ -54,6 +54,11 @@
     void handle(HttpServerExchange exchange, Optional<PeerGrant> grant) {
         long arrivedMillis = context.clock().millis();
         context.callers().requestStarted(exchange);
+        context.stop().requestStarted();
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            context.stop().requestEnded();
+            next.proceed();
+        });
         RequestLimits limits = context.upstreams()
                 .view()
                 .routes()
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/TrafficServer.java
@@ -76,9 +76,15 @@
     /** Time without requests before the exit; one that crosses the closing of its connection arrives within some round trips. */
     private static final long IDLE_BEFORE_EXIT_MS = 400;
 
-    /** Part of the grace time that is left for the process to exit. */
+    /** Part of the grace time that is left for the last answers and for the process to exit. */
     private static final long EXIT_MARGIN_MS = 500;
 
+    /** Time for the answers to requests that are still unanswered at the end. */
+    private static final long LAST_ANSWERS_MS = 250;
+
+    /** Time without requests before the exit once the ports are closed. */
+    private static final long LAST_IDLE_MS = 40;
+
     /** Longest time to close idle connections before the exit. */
     private static final long MAX_CLOSE_MS = 100;
 
@@ -217,16 +223,24 @@
                 .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
-    /** Performs a planned stop: blocks until all requests have ended or time is up; returns how many remain. */
+    /**
+     * Performs a planned stop: blocks until all responses have been written or time is up; returns how many remain.
+     *
+     * <p>Callers may send until the process is gone. So the ports are closed before the end, what comes on open connections
+     * is refused as not run, and what is still unanswered then is answered: not run, or unknown.
+     */
     public int stop() {
-        long startNanos = System.nanoTime();
-        long grace = context.bounds().shutdownGraceMillis() - EXIT_MARGIN_MS;
-        long now = context.clock().millis();
-        context.stop().stop(now + UNREADY_NOTICE_MS, now + grace);
+        long startMillis = context.clock().millis();
+        long endMillis = startMillis + context.bounds().shutdownGraceMillis() - EXIT_MARGIN_MS;
+        context.stop().stop(startMillis + UNREADY_NOTICE_MS, endMillis);
         try {
             TimeUnit.MILLISECONDS.sleep(UNREADY_NOTICE_MS);
             thread.execute(this::closeIdleCallers);
-            int cut = context.stop().awaitIdle(startNanos + TimeUnit.MILLISECONDS.toNanos(grace), IDLE_BEFORE_EXIT_MS);
+            awaitIdle(endMillis, IDLE_BEFORE_EXIT_MS);
+            thread.execute(this::closePorts);
+            awaitIdle(endMillis, LAST_IDLE_MS);
+            thread.execute(() -> context.stop().remaining().forEach(barrier::run));
+            int cut = awaitIdle(endMillis + LAST_ANSWERS_MS, LAST_IDLE_MS);
             closeIdleUpstreams();
             return cut;
         } catch (InterruptedException e) {
@@ -235,6 +249,19 @@
         }
     }
 
+    private int awaitIdle(long untilMillis, long idleMillis) throws InterruptedException {
+        long leftMillis = untilMillis - context.clock().millis();
+        return context.stop()
+                .awaitIdle(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, leftMillis)), idleMillis);
+    }
+
+    /** Takes no connection and no request any more; a refusal closes the connection that a request came on. */
+    private void closePorts() {
+        context.stop().close();
+        server.stop();
+        context.callers().closeIdle();
+    }
+
     /** Closes idle connections to upstreams in order; those with a request are reset as the process ends. */
     private void closeIdleUpstreams() throws InterruptedException {
         CountDownLatch closed = new CountDownLatch(1);
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -93,6 +93,11 @@
         detach(attempt);
     }
 
+    /** Returns whether there is an attempt in progress of which a part may have been sent. */
+    boolean isSent() {
+        return upstreamExchange != null && upstreamExchange.isSent();
+    }
+
     /** Returns the number of upstreams that the request was sent to. */
     int attempts() {
         return tried.size();
--- a/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
+++ b/org.cuminspur/src/org/cuminspur/errors/ErrorKind.java
@@ -31,6 +31,7 @@
     NOT_READY(503, NOT_RUN, true, "this instance has no configuration yet"),
     VIEW_STALE(503, NOT_RUN, true, "this instance cannot confirm its configuration"),
     STOPPING(503, NOT_RUN, true, "this instance is stopping"),
+    STOPPED_AFTER_SEND(502, UNKNOWN, false, "this instance stopped before the upstream had answered"),
     STREAM_UNKNOWN(503, NOT_RUN, true, "the software version that began the stream is not known"),
     QUARANTINED(503, NOT_RUN, true, "the request, or a part of its prompt, has crashed upstreams"),
     PEER_UNAVAILABLE(503, NOT_RUN, true, "this instance takes no requests of other instances now"),
--- a/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
+++ b/org.cuminspur/src/org/cuminspur/retry/AttemptEvent.java
@@ -63,6 +63,14 @@
     /** The whole answer was passed on. */
     record AnswerCompleted() implements AttemptEvent {}
 
+    /**
+     * This instance ends, as the time of a planned stop is over.
+     *
+     * @param sent whether a part of the request may have been sent to an upstream that has not answered
+     * @param answerBegan whether part of an answer has been passed on
+     */
+    record InstanceStops(boolean sent, boolean answerBegan) implements AttemptEvent {}
+
     /** The caller disconnected. */
     record CallerGone() implements AttemptEvent {}
 }
--- a/org.cuminspur/src/org/cuminspur/retry/AttemptStateMachine.java
+++ b/org.cuminspur/src/org/cuminspur/retry/AttemptStateMachine.java
@@ -73,6 +73,8 @@
             return serverError();
         } else if (event instanceof AttemptEvent.CrashSuspected suspected) {
             return crashSuspected(suspected);
+        } else if (event instanceof AttemptEvent.InstanceStops stops) {
+            return instanceStops(stops);
         } else if (event instanceof AttemptEvent.HeldBack heldBack) {
             recordFailure(heldBack.refusal());
             return new NextStep.Refuse(lastRefusal);
@@ -158,6 +160,12 @@
         return resume ? new NextStep.Resume() : new NextStep.AbortAnswer(Refusal.of(ErrorKind.UPSTREAM_BROKE));
     }
 
+    private NextStep instanceStops(AttemptEvent.InstanceStops event) {
+        recordFailure(
+                Refusal.of(event.sent() || event.answerBegan() ? ErrorKind.STOPPED_AFTER_SEND : ErrorKind.STOPPING));
+        return event.answerBegan() ? new NextStep.AbortAnswer(lastRefusal) : new NextStep.Refuse(lastRefusal);
+    }
+
     /** Ends the request, since another upstream might crash too. */
     private NextStep crashSuspected(AttemptEvent.CrashSuspected event) {
         recordFailure(Refusal.of(ErrorKind.UPSTREAM_BROKE));
