Do not take an earlier refusal that comes once more for a new one

Cause: all attempts and repeats of a request bear one id, so a repeated refusal of the same id, or one that names no id, passed for the response to the request that was just sent.

Change: a request is not sent on a connection that has brought a refusal or failure of it (UnsuccessfulResponses), so an earlier response always names another request there; one that names none is not believed on a connection that has served before: the request may have run. A pause in a response that is a repeat is not kept; that a process leaves stays true. Between instances a refusal that names another request is not believed either. After a refusal a connection is still kept: closing it would cost a connection for each request that a full server turns away.

Not covered: idempotent routes of the own interface, whose protocol has no ids.

--- a/org.cuminspur.router.test/tst/org/cuminspur/router/internal/traffic/GivenUpPeerRequestTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/internal/traffic/GivenUpPeerRequestTest.java
@@ -84,7 +84,7 @@
         PeerInstance peer =
                 new PeerInstance(new InstanceId("instance-1"), new NetworkAddress("127.0.0.1", link.port()));
         UpstreamExchange<PeerInstance> exchange =
-                new UpstreamExchange<>(peer, connections, ByteBuffer.allocate(BUFFER_BYTES), new Ignoring());
+                new UpstreamExchange<>(peer, path, connections, ByteBuffer.allocate(BUFFER_BYTES), new Ignoring());
         ClientRequest request = new ClientRequest().setMethod(Methods.POST).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, "users.example").put(Headers.CONTENT_LENGTH, 2);
         XnioIoThread thread = worker.getIoThread();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/AttemptOutcomes.java
@@ -95,9 +95,15 @@
         });
     }
 
-    /** Records what the upstream says of itself, also in a response to another request that comes late. */
+    /**
+     * Records what the upstream says of itself, also in a response to another request that comes late.
+     *
+     * <p>That its process leaves stays true, also in an earlier response that comes once more. A pause counts from its response,
+     * so a repeated one is over at another time than it says.
+     */
     void withdrawn(UpstreamExchange<UpstreamState> exchange, ResponseMetadata metadata) {
-        metadata.pause().ifPresent(pause -> pause(exchange.destination(), pause));
+        boolean repeated = metadata.requestId().filter(exchange::repeats).isPresent();
+        metadata.pause().filter(pause -> !repeated).ifPresent(pause -> pause(exchange.destination(), pause));
         if (metadata.leaving()
                 && exchange.destination().recordLeaving(context.clock().millis())) {
             log.upstreamLeaves(exchange.destination());
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ExchangeProgress.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/ExchangeProgress.java
@@ -8,5 +8,15 @@
     SENDING,
     /** The whole request was written, which does not mean that it has arrived. */
     SENT,
-    RESPONDING
+    RESPONDING;
+
+    /** Returns the progress of an exchange that has a connection or not, has written all or not, has a response or not. */
+    static ExchangeProgress of(boolean connected, boolean written, boolean responding) {
+        if (responding) {
+            return RESPONDING;
+        } else if (written) {
+            return SENT;
+        }
+        return connected ? SENDING : CONNECTING;
+    }
 }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
@@ -3,6 +3,7 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.Set;
 import org.cuminspur.errors.ErrorKind;
 import org.cuminspur.errors.Refusal;
@@ -83,7 +84,7 @@
         this.log = log;
         this.listener = listener;
         this.sentMillis = context.clock().millis();
-        this.exchange = new UpstreamExchange<>(peer, context.connections(), context.buffer(), this);
+        this.exchange = new UpstreamExchange<>(peer, call.requestId(), context.connections(), context.buffer(), this);
     }
 
     void start(ClientRequest request, byte[] body) {
@@ -124,8 +125,20 @@
 
     @Override
     public void responseStarted(UpstreamExchange<PeerInstance> from, int status, HeaderMap headers) {
-        PeerHeaders.refusal(headers)
-                .ifPresentOrElse(refusal -> refused(status, refusal), () -> answered(status, headers));
+        ResponseMetadata metadata = context.headerCodec().decodeAnswer(status, headers);
+        Optional<Refusal> refusal = PeerHeaders.refusal(headers);
+        if (metadata.namesOther(call.requestId())) {
+            foreign();
+        } else if (refusal.isPresent()) {
+            refused(status, refusal.get());
+        } else {
+            answered(status, headers, metadata);
+        }
+    }
+
+    private void foreign() {
+        cancel(GiveUpReason.FOREIGN_RESPONSE);
+        fail("foreign-answer", new AttemptEvent.PeerBroken(runs));
     }
 
     private void refused(int status, Refusal refusal) {
@@ -140,12 +153,11 @@
         }
     }
 
-    private void answered(int status, HeaderMap headers) {
-        ResponseMetadata metadata = context.headerCodec().decodeAnswer(status, headers);
-        if (!metadata.belongsTo(call.requestId(), status < REDIRECTION)
+    private void answered(int status, HeaderMap headers, ResponseMetadata metadata) {
+        // An instance writes no response twice, so one that names no request is of this one.
+        if (!metadata.belongsTo(call.requestId(), status < REDIRECTION, false)
                 || context.headerCodec().impliesNotRun(status)) {
-            cancel(GiveUpReason.FOREIGN_RESPONSE);
-            fail("foreign-answer", new AttemptEvent.PeerBroken(runs));
+            foreign();
             return;
         }
         responded = true;
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamConnectionPool.java
@@ -7,8 +7,10 @@
 import java.net.ConnectException;
 import java.net.URI;
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CancellationException;
@@ -81,15 +83,26 @@
         this.listener = listener;
     }
 
-    /** Takes an idle connection out of the pool, or returns null if there is none. */
-    ClientConnection take(Destination destination) {
+    /**
+     * Takes an idle connection out of the pool, or returns null if there is none.
+     *
+     * @param requestId request that is to be sent; a connection that has brought a refusal or failure of it is not taken
+     */
+    ClientConnection take(Destination destination, String requestId) {
         Deque<Idle> connections = idle.get(destination);
-        while (connections != null && !connections.isEmpty()) {
-            Idle first = connections.pollFirst();
-            if (first.connection().isOpen() && clock.millis() < first.untilMillis()) {
-                return first.connection();
+        long now = clock.millis();
+        Iterator<Idle> candidates = connections == null ? Collections.emptyIterator() : connections.iterator();
+        while (candidates.hasNext()) {
+            Idle candidate = candidates.next();
+            ClientConnection connection = candidate.connection();
+            boolean usable = connection.isOpen() && now < candidate.untilMillis();
+            if (!usable) {
+                candidates.remove();
+                ClientConnections.closeInOrder(connection);
+            } else if (!UnsuccessfulResponses.of(connection).contains(requestId)) {
+                candidates.remove();
+                return connection;
             }
-            ClientConnections.closeInOrder(first.connection());
         }
         return null;
     }
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -25,6 +25,7 @@
  */
 final class UpstreamExchange<D extends Destination> {
     private static final int NO_CONTENT = 204;
+    private static final int REDIRECTION = 300;
     private static final int NOT_MODIFIED = 304;
     /** Largest body that reaches an upstream in one piece; a larger one may be answered before it was read. */
     private static final int MAX_SINGLE_PIECE_BYTES = 64 * 1_024;
@@ -60,6 +61,7 @@
     }
 
     private final D destination;
+    private final String requestId;
     private final UpstreamConnectionPool connections;
     private final ByteBuffer buffer;
     private final Listener<D> listener;
@@ -83,10 +85,17 @@
     /**
      * Creates an exchange without starting it.
      *
+     * @param requestId id that the request and its response bear
      * @param buffer shared by all exchanges of the thread
      */
-    UpstreamExchange(D destination, UpstreamConnectionPool connections, ByteBuffer buffer, Listener<D> listener) {
+    UpstreamExchange(
+            D destination,
+            String requestId,
+            UpstreamConnectionPool connections,
+            ByteBuffer buffer,
+            Listener<D> listener) {
         this.destination = destination;
+        this.requestId = requestId;
         this.connections = connections;
         this.buffer = buffer;
         this.listener = listener;
@@ -102,18 +111,18 @@
     }
 
     ExchangeProgress progress() {
-        if (source != null) {
-            return ExchangeProgress.RESPONDING;
-        } else if (requestWritten) {
-            return ExchangeProgress.SENT;
-        }
-        return isSent() ? ExchangeProgress.SENDING : ExchangeProgress.CONNECTING;
+        return ExchangeProgress.of(isSent(), requestWritten, source != null);
     }
 
     ConnectionEnd connectionEnd() {
         return connectionEnd;
     }
 
+    /** Returns whether the connection had brought a refusal or failure of a request before. */
+    boolean repeats(String otherRequestId) {
+        return UnsuccessfulResponses.of(connection).contains(otherRequestId);
+    }
+
     /** Returns whether the connection had served before. */
     boolean reused() {
         return reused;
@@ -143,7 +152,7 @@
     void start(ClientRequest newRequest, byte[] newBody) {
         request = newRequest;
         body = newBody;
-        ClientConnection idle = connections.take(destination);
+        ClientConnection idle = connections.take(destination, requestId);
         if (idle != null) {
             reused = true;
             send(idle);
@@ -276,6 +285,10 @@
         if (finished) {
             return;
         }
+        if (response.getResponseCode() >= REDIRECTION
+                && !UnsuccessfulResponses.of(connection).add(requestId)) {
+            keepAliveMillis = 0;
+        }
         if (response.getResponseCode() == NO_CONTENT || response.getResponseCode() == NOT_MODIFIED) {
             keepAliveMillis = 0;
             finish();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -132,7 +132,8 @@
         log.placed(routed, decision, tried.size() + 1, now);
         tried.add(upstream.id());
         outcomes.sent(now);
-        upstreamExchange = new UpstreamExchange<>(upstream, context.connections(), context.buffer(), this);
+        upstreamExchange =
+                new UpstreamExchange<>(upstream, call.requestId(), context.connections(), context.buffer(), this);
         upstream.recordSent(upstreamExchange, now);
         upstream.health().recordAttempt(now);
         context.unanswered().add(this);
@@ -161,8 +162,9 @@
     @Override
     public void responseStarted(UpstreamExchange<UpstreamState> from, int responseStatus, HeaderMap headers) {
         ResponseMetadata metadata = context.headerCodec().decodeAnswer(responseStatus, headers);
+        boolean belongs = metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION, from.reused());
         outcomes.withdrawn(from, metadata);
-        if (!metadata.belongsTo(call.requestId(), responseStatus < REDIRECTION)) {
+        if (!belongs) {
             giveUp(from, GiveUpReason.FOREIGN_RESPONSE);
             outcomes.failed(from, "foreign-answer", now());
             attemptFailed(from, "foreign-answer", responseStatus, brokenEvent());
--- a/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
+++ b/org.cuminspur/src/org/cuminspur/traffic/ResponseMetadata.java
@@ -25,8 +25,18 @@
     /** Numbers of requests running and waiting at an upstream; immutable. */
     public record ReportedLoad(int running, int waiting) {}
 
-    /** Returns whether the response belongs to a request and, if it claims success, is signed. */
-    public boolean belongsTo(String request, boolean success) {
-        return requestId.map(request::equals).orElse(!success) && (signed || !success);
+    /**
+     * Returns whether the response belongs to a request and, if it claims success, is signed.
+     *
+     * @param reused whether the connection had served another request, whose response may come once more; one that names no
+     *     request is then believed to be of none
+     */
+    public boolean belongsTo(String request, boolean success, boolean reused) {
+        return requestId.map(request::equals).orElse(!success && !reused) && (signed || !success);
+    }
+
+    /** Returns whether the response names another request. */
+    public boolean namesOther(String request) {
+        return requestId.filter(id -> !id.equals(request)).isPresent();
     }
 }
