--- a/org.cuminspur.router.test/tst/org/cuminspur/router/GivenUpCallTest.java
+++ b/org.cuminspur.router.test/tst/org/cuminspur/router/GivenUpCallTest.java
@@ -26,20 +26,25 @@
     private static final long TIMEOUT_MS = 400;
     private static final long ARRIVAL_MS = 500;
 
-    private final List<String> received = new CopyOnWriteArrayList<>();
-    private final List<String> ends = new CopyOnWriteArrayList<>();
+    private List<String> received;
+    private List<String> ends;
     private RawUpstream upstream;
     private CutLink link;
     private HttpClient http;
 
     @BeforeMethod
     public void start() {
+        // Connections of the test before may end only now, and are none of this one's.
+        List<String> receivedNow = new CopyOnWriteArrayList<>();
+        List<String> endsNow = new CopyOnWriteArrayList<>();
+        received = receivedNow;
+        ends = endsNow;
         upstream = new RawUpstream(connection -> {
             for (String head = connection.readRequest(); !head.isEmpty(); head = connection.readRequest()) {
-                received.add(head.split(" ")[1]);
+                receivedNow.add(head.split(" ")[1]);
                 connection.sendAnswers("done");
             }
-            ends.add("in order");
+            endsNow.add("in order");
         });
         link = new CutLink(upstream.port());
         http = new HttpClient(Clock.system(), 1, CONNECT_TIMEOUT_MS);
@@ -51,8 +56,6 @@
         http.close();
         link.close();
         upstream.close();
-        received.clear();
-        ends.clear();
     }
 
     @DataProvider
