Treat a response with an invalid status line as a broken connection

Callers got status 600 and 999 as answers, and a 101 that nobody had asked for. Of status 000 and 099 they got nothing at all: their connection ended without an answer, and a request that may be repeated was not. A response in HTTP/2.0 was taken for one in HTTP/1.0.

Cause: the client library checks that a status is a number of three digits, no more, and nothing of ours looked at a head after it. Its server refuses to write a status below 100, so that the request ended in the traffic thread's fault barrier, and the attempt counted neither against the upstream nor as broken.

A conduit below the client library now holds a head back until it is complete, and fails the read if its status line is not HTTP/1.x with a status of 100 to 599 other than 101. All that read responses open their connections in ClientConnections, so it holds for upstreams, other instances, the store and the operator's calls. A failed read is a broken connection: the request is repeated where it may be, the caller gets a 502 otherwise, the connection is reset, the attempt counts in the upstream's health, and the line attempt-failed names upstream, request and the quoted status line, with what is not printable escaped.

RFC 9110 lets a client process an invalid status as a 5xx. Weighed and not taken: whether the request ran is as unknown as after a cut, and the body and framing come from a process that has failed. A status line that ends with its status, without a blank, is taken: RFC 9112 lets a recipient split it at its blanks.

BrokenHeadTest, one instance with two servers for each kind of request: on the rows STATUS_000, STATUS_099, STATUS_600, STATUS_999, SWITCHING_PROTOCOLS and OTHER_MAJOR_VERSION failed for all four kinds of request, NO_BLANK_AFTER_STATUS too (502), and no server was left out for answers of status 000. The other 16 rows got a 502 or a repeat before. All rows pass now.

--- a/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.cuminspur.http.internal.client.FramingGuard;
 import org.cuminspur.http.internal.client.GuardingIoThread;
+import org.cuminspur.http.internal.client.ResponseConduit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.FutureResult;
@@ -35,7 +36,7 @@
     private ClientConnections() {}
 
     /**
-     * Opens a connection that is reset as it closes, and that breaks if a response's head or framing has no end.
+     * Opens a connection that is reset as it closes, and that breaks if a response is invalid or its head or framing has no end.
      *
      * @param uri of the form {@code http://HOST:PORT}
      */
@@ -49,7 +50,7 @@
                 new IoFuture.HandlingNotifier<ClientConnection, Void>() {
                     @Override
                     public void handleDone(ClientConnection connection, Void none) {
-                        opened(connection, guarding.guard(), result);
+                        opened(connection, guarding, result);
                     }
 
                     @Override
@@ -66,10 +67,12 @@
         return result.getIoFuture();
     }
 
-    private static void opened(ClientConnection connection, FramingGuard guard, FutureResult<ClientConnection> result) {
+    private static void opened(
+            ClientConnection connection, GuardingIoThread guarding, FutureResult<ClientConnection> result) {
         try {
             connection.setOption(Options.CLOSE_ABORT, true);
-            ((Attachable) connection).putAttachment(FramingGuard.KEY, guard);
+            ((Attachable) connection).putAttachment(FramingGuard.KEY, guarding.guard());
+            ((Attachable) connection).putAttachment(ResponseConduit.KEY, guarding.responses());
             if (!result.setResult(connection)) {
                 // The attempt was cancelled meanwhile.
                 IoUtils.safeClose(connection);
@@ -80,8 +83,14 @@
         }
     }
 
+    /** Expects the response to a request that is about to be sent; called on the I/O thread. */
+    public static void expectResponse(ClientConnection connection) {
+        progressed(connection);
+        ((Attachable) connection).getAttachment(ResponseConduit.KEY).expectResponse();
+    }
+
     /**
-     * Notes that a request is sent, its response's head has come, or a part of the body; called on the I/O thread.
+     * Notes that a response's head has come, or a part of the body; called on the I/O thread.
      *
      * <p>A response of which too much comes without this breaks its connection.
      */
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/GuardingIoThread.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/GuardingIoThread.java
@@ -17,6 +17,7 @@
 public final class GuardingIoThread extends XnioIoThread {
     private final XnioIoThread thread;
     private volatile FramingGuard guard;
+    private volatile ResponseConduit responses;
 
     public GuardingIoThread(XnioIoThread thread) {
         super(thread.getWorker(), thread.getNumber());
@@ -28,6 +29,11 @@
         return guard;
     }
 
+    /** Returns what checks the connection's responses, null before it is open. */
+    public ResponseConduit responses() {
+        return responses;
+    }
+
     @Override
     public IoFuture<StreamConnection> openStreamConnection(
             SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
@@ -35,7 +41,8 @@
                 destination,
                 connection -> {
                     guard = new FramingGuard(connection.getSourceChannel().getConduit());
-                    connection.getSourceChannel().setConduit(guard);
+                    responses = new ResponseConduit(guard);
+                    connection.getSourceChannel().setConduit(responses);
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
@@ -113,6 +113,7 @@
         sockets.add(socket);
         try (socket) {
             socket.setSoTimeout(SOCKET_TIMEOUT_MS);
+            socket.setTcpNoDelay(true);
             script.run(new Connection(
                     number, new BufferedInputStream(socket.getInputStream()), socket.getOutputStream(), socket));
         } catch (IOException e) {
@@ -162,6 +163,12 @@
             out.flush();
         }
 
+        /** Sends text without framing, each character as one byte. */
+        public void sendBytes(String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
         /** Sends complete answers with a Content-Length, all in one write. */
         public void sendAnswers(String... bodies) throws IOException {
             send(Stream.of(bodies)
