Reject chunked bodies whose framing is invalid

Callers got a 200 as whole although its chunk sizes were followed by rubbish or a blank, a chunk was longer than its size said, a line ended with LF alone, or a trailer was no field; bytes behind the stated size could become the next size. A size that is no number ended the caller's connection although nothing had been passed on.

Cause: the client library takes the leading hexadecimal digits of a size line and skips the rest of it and the trailers; nothing of ours looked at the framing.

The conduit that checks heads now follows chunked bodies too. What came of a body before the invalid bytes is passed on, so that a stream can be resumed after its last whole event; if head and invalid chunk come in one read, nothing of the response is known yet, and the request can still be repeated. Extensions are skipped, with blanks before their semicolon as RFC 9112 asks; sizes may have zeros before them.

--- a/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/client/ClientConnections.java
@@ -3,9 +3,11 @@
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.Attachable;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
@@ -84,9 +86,11 @@
     }
 
     /** Expects the response to a request that is about to be sent; called on the I/O thread. */
-    public static void expectResponse(ClientConnection connection) {
+    public static void expectResponse(ClientConnection connection, ClientRequest request) {
         progressed(connection);
-        ((Attachable) connection).getAttachment(ResponseConduit.KEY).expectResponse();
+        ((Attachable) connection)
+                .getAttachment(ResponseConduit.KEY)
+                .expectResponse(request.getMethod().equals(Methods.HEAD));
     }
 
     /**
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -146,7 +146,7 @@
                         request.getRequestHeaders().add(HttpString.tryFromString(header.name()), header.value()));
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
         connection.getCloseSetter().set(closed -> failOnIoThread());
-        ClientConnections.expectResponse(connection);
+        ClientConnections.expectResponse(connection, request);
         connection.sendRequest(
                 request, ClientConnections.callback(exchange -> sendBody(exchange, call.body()), this::fail));
     }
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
@@ -16,7 +16,8 @@
  * Passes only valid responses to the client library, where bytes enter the process.
  *
  * <p>Used on the connection's I/O thread. A head is held back until it is complete and passed on in one form, without the heads
- * of interim responses. Reading fails with {@link InvalidResponseException} once a head is invalid.
+ * of interim responses. Reading fails with {@link InvalidResponseException} once a response is invalid; what came of its body
+ * before is passed on first, unless its head came in the same read, so that nothing of the response is known yet.
  * Bytes that belong to no response are passed on as they are; the library closes a connection that brings them.
  */
 public final class ResponseConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
@@ -28,6 +29,9 @@
     /** Head that is awaited, null if none is. */
     private ResponseHeadParser head;
 
+    /** Chunked body in progress, null if there is none. */
+    private ChunkedBody body;
+
     private ByteBuffer checked = EMPTY;
 
     /** What made the response invalid, null if nothing did. */
@@ -39,9 +43,12 @@
 
     /**
      * Expects the response to a request that is about to be sent.
+     *
+     * @param headRequest whether the request asks for a head only
      */
-    public void expectResponse() {
-        head = new ResponseHeadParser();
+    public void expectResponse(boolean headRequest) {
+        head = new ResponseHeadParser(headRequest);
+        body = null;
     }
 
     @Override
@@ -56,13 +63,32 @@
             return transferChecked(target);
         }
         try {
-            return head != null ? readHead(target) : next.read(target);
+            return head != null ? readHead(target) : readBody(target);
         } catch (InvalidResponseException e) {
             fault = e;
             throw e;
         }
     }
 
+    private int readBody(ByteBuffer target) throws IOException {
+        int start = target.position();
+        int count = next.read(target);
+        if (count <= 0) {
+            return count;
+        }
+        ByteBuffer bytes = received(target, start);
+        try {
+            follow(bytes);
+        } catch (InvalidResponseException e) {
+            if (bytes.position() == start) {
+                throw e;
+            }
+            fault = e;
+            target.position(bytes.position());
+        }
+        return target.position() - start;
+    }
+
     /** Reads until the head is complete, and passes on as much of it as there is room for. */
     private int readHead(ByteBuffer target) throws IOException {
         int start = target.position();
@@ -84,9 +110,11 @@
     }
 
     /** Takes the complete head, and the bytes that came behind it. */
-    private void endHead(ByteBuffer behind) {
+    private void endHead(ByteBuffer behind) throws InvalidResponseException {
         byte[] text = head.head();
+        body = head.chunkedBodyFollows() ? new ChunkedBody() : null;
         head = null;
+        follow(behind.duplicate());
         checked = ByteBuffer.allocate(text.length + behind.remaining())
                 .put(text)
                 .put(behind)
@@ -97,6 +125,12 @@
         return buffer.duplicate().limit(buffer.position()).position(start);
     }
 
+    private void follow(ByteBuffer bytes) throws InvalidResponseException {
+        if (body != null && body.read(bytes)) {
+            body = null;
+        }
+    }
+
     private int transferChecked(ByteBuffer target) {
         int count = Math.min(checked.remaining(), target.remaining());
         ByteBuffer part = checked.duplicate().limit(checked.position() + count);
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseHeadParser.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseHeadParser.java
@@ -19,13 +19,24 @@
     private static final String CHUNKED = "chunked";
     private static final String LINE_END = "\r\n";
     private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
+    private final boolean headRequest;
     private final LineReader lines = new LineReader();
     private final StringBuilder text = new StringBuilder();
     private final List<String> lengths = new ArrayList<>();
     private final List<String> codings = new ArrayList<>();
     private StatusLine statusLine;
 
+    /**
+     * Creates a parser.
+     *
+     * @param headRequest whether the request asks for a head only
+     */
+    ResponseHeadParser(boolean headRequest) {
+        this.headRequest = headRequest;
+    }
+
     /**
      * Reads up to the end of the head of the final response.
      *
@@ -60,6 +71,15 @@
         return (text + LINE_END).getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Returns whether a chunked body follows, once the head is complete. */
+    boolean chunkedBodyFollows() {
+        return !codings.isEmpty() && mayHaveBody();
+    }
+
+    private boolean mayHaveBody() {
+        return !headRequest && statusLine.status() != NO_CONTENT && statusLine.status() != NOT_MODIFIED;
+    }
+
     private void add(FieldLine field) {
         if (field.is(CONTENT_LENGTH)) {
             lengths.addAll(listed(field));
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -231,7 +231,7 @@
     private void send(ClientConnection to) {
         connection = to;
         to.getCloseSetter().set(closed -> failLater(to));
-        ClientConnections.expectResponse(to);
+        ClientConnections.expectResponse(to, request);
         connection.sendRequest(
                 request, ClientConnections.callback(exchange -> sendBody(to, exchange), this::reconnect));
     }
--- a/platform.test/tst/org/cuminspur/platform/BrokenHeadTest.java
+++ b/platform.test/tst/org/cuminspur/platform/BrokenHeadTest.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Stream;
+import org.cuminspur.standin.raw.BrokenBody;
 import org.cuminspur.standin.raw.BrokenHead;
 import org.cuminspur.standin.raw.OddResponse;
 import org.cuminspur.standin.raw.RawUpstream;
@@ -74,6 +75,59 @@
         assertEquals(answers.request(kind), "502");
     }
 
+    @DataProvider
+    public Object[][] bodies() {
+        return forEachKind(BrokenBody.values());
+    }
+
+    @Test(dataProvider = "bodies")
+    public void answerWithBrokenChunksIsNone(BrokenBody body, RequestKind kind) {
+        answers.serveSuccessfully(kind);
+        answers.answerFirst(kind, (connection, request) -> {
+            connection.sendBytes("HTTP/1.1 200 OK\r\n" + BrokenAnswers.headers(kind, request) + BrokenBody.HEADER
+                    + "\r\n" + body.text());
+            return false;
+        });
+        assertEquals(
+                answers.request(kind),
+                body.isValidUpToItsEnd() ? BrokenAnswers.CUT : BrokenAnswers.repeatedOrFailed(kind));
+    }
+
+    /** Guards against a broken body that looks complete, and against an event of a stream that is passed on in part. */
+    @Test(dataProvider = "bodies")
+    public void answerWhoseLaterChunksAreBrokenIsIncomplete(BrokenBody body, RequestKind kind) {
+        assertEndsAfterFirstEvents(body, kind, 20);
+    }
+
+    /** Guards against events that are lost, and a stream that is not resumed, as broken bytes come in the same read. */
+    @Test(dataProvider = "bodies")
+    public void eventsBeforeBrokenChunksArePassedOn(BrokenBody body, RequestKind kind) {
+        assertEndsAfterFirstEvents(body, kind, 0);
+    }
+
+    private void assertEndsAfterFirstEvents(BrokenBody body, RequestKind kind, long pauseMillis) {
+        answers.serveSuccessfully(kind);
+        String first = BrokenAnswers.events(3);
+        String chunk = Integer.toHexString(first.length()) + "\r\n" + first + "\r\n";
+        answers.answerFirst(kind, (connection, request) -> {
+            connection.sendBytes(
+                    "HTTP/1.1 200 OK\r\n" + BrokenAnswers.headers(kind, request) + BrokenBody.HEADER + "\r\n");
+            Deployment.pause(20);
+            if (pauseMillis > 0) {
+                connection.sendBytes(chunk);
+                Deployment.pause(pauseMillis);
+                connection.sendBytes(body.text());
+            } else {
+                connection.sendBytes(chunk + body.text());
+            }
+            return false;
+        });
+        assertEquals(
+                answers.request(kind),
+                kind == RequestKind.RESUMABLE_STREAM ? BrokenAnswers.sound(kind) : BrokenAnswers.CUT,
+                answers.logged().toString());
+    }
+
     @DataProvider
     public Object[][] oddResponses() {
         return forEachKind(OddResponse.values());
