Cut a stream visibly if the next response does not continue it

After a stream had broken off, a next response without a body of events ended it as if it were complete, with events missing: a 200 or 4xx with an empty body, 204, a redirection. The events of a 201, 206, 404 or of a text of another type were passed on as part of the stream. The text of an error was never in the stream, as its first event has to have the next id.

Cause: any response but a failure of the upstream counted as the continuation, and a resumed stream was complete where the response's own framing ended outside an event.

A response continues a stream only if it has the status that the caller was given and is a stream of events; any other counts as a failed attempt, so the next upstream is asked or the caller's stream is cut. And a stream that broke off is not complete before another event has come. That also cuts a stream whose break fell between its last event and its end, if the next upstream sends nothing more: an empty stream from one that has failed looks the same, and the caller can take the stream up itself.

On the router's own interface a resumed stream already had to be a 200 of events and to reach its end marker; nothing is changed there.

--- a/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventSplitter.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/caller/EventSplitter.java
@@ -44,6 +44,11 @@
         resumedAfter = lastId;
     }
 
+    /** Returns whether the stream was resumed and no event has come since. */
+    public boolean awaitsContinuation() {
+        return resumedAfter.isPresent();
+    }
+
     /** Returns the bytes after the last complete event. */
     public byte[] incompleteEvent() {
         return pending.toByteArray();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/BodyRelay.java
@@ -63,9 +63,18 @@
         return boundary != null && boundary.insideEvent();
     }
 
-    /** Returns whether a response whose body ends in this way is complete. */
+    /**
+     * Returns whether a response whose body ends in this way is complete.
+     *
+     * <p>A stream that broke off is not complete before another event has come: an upstream that fails may answer with an empty
+     * stream too.
+     */
     boolean isComplete(BodyEnd end) {
-        return boundary == null || boundary.isComplete(end);
+        return boundary == null || (boundary.isComplete(end) && !awaitsContinuation());
+    }
+
+    private boolean awaitsContinuation() {
+        return splitter != null && splitter.awaitsContinuation();
     }
 
     /** Returns whether the resumed stream has a gap, so that it cannot be relayed. */
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerResponse.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/CallerResponse.java
@@ -71,6 +71,11 @@
         writer.begin(responseStatus, headers);
     }
 
+    /** Returns whether it has not begun, or is a stream that a response with this head may continue. */
+    boolean mayContinueWith(int nextStatus, boolean nextIsEventStream) {
+        return !begun() || (nextStatus == status && nextIsEventStream);
+    }
+
     /** Expects the next bytes to continue the stream after the last event passed on. */
     void resumed() {
         relay.resumed();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -173,7 +173,9 @@
             return;
         }
         outcomes.responded(from, metadata);
-        boolean failed = responseStatus >= SERVER_ERROR || context.headerCodec().impliesNotRun(responseStatus);
+        boolean failed = responseStatus >= SERVER_ERROR
+                || context.headerCodec().impliesNotRun(responseStatus)
+                || !response.mayContinueWith(responseStatus, routed.isEventStream(headers));
         reported(from.destination(), metadata, failed && !metadata.notRun());
         log.limitNamed(from.destination(), metadata.limit());
         if (metadata.notRun()) {
--- a/platform.test/tst/org/cuminspur/platform/BrokenAnswers.java
+++ b/platform.test/tst/org/cuminspur/platform/BrokenAnswers.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
@@ -23,6 +24,7 @@
     /** What a caller gets that has to take its answer for incomplete. */
     static final String CUT = "cut";
 
+    private static final int BAD_GATEWAY = 502;
     private static final String SOUND_BODY = "done";
     private static final int SUCCESSES_BEFORE_CASE = 10;
 
@@ -58,22 +60,35 @@
 
     /** Returns the status and body that a caller gets, or {@link #CUT} for an answer that is visibly incomplete. */
     String request(RequestKind kind) {
-        return request(kind, "{}");
+        return request(kind, "{}", new StringBuilder());
     }
 
-    String request(RequestKind kind, String body) {
+    /**
+     * Sends a request with a body.
+     *
+     * @param received takes the body of the answer, also of one that is incomplete
+     */
+    String request(RequestKind kind, String body, StringBuilder received) {
         id = "broken-" + requests.incrementAndGet();
         try (StandinCaller caller = deployment.caller()) {
             caller.post(kind.path(id), id, StandinCaller.DEFAULT_API_KEY, "", body);
-            StandinCaller.Answer answer = caller.readAnswer();
-            assertEquals(answer.head().toLowerCase(java.util.Locale.ROOT).indexOf("broken:"), -1, answer.head());
-            return answer.status() == 502 ? "502" : answer.status() + " " + answer.body();
+            return readAnswer(caller, received);
         } catch (IOException e) {
-            // An answer that ends before its framing says so.
+            // The answer ended before its framing says so, or while its request was sent.
             return CUT;
         }
     }
 
+    private static String readAnswer(StandinCaller caller, StringBuilder received) throws IOException {
+        try {
+            StandinCaller.Answer answer = caller.readAnswer();
+            assertEquals(answer.head().toLowerCase(Locale.ROOT).indexOf("broken:"), -1, answer.head());
+            return answer.status() == BAD_GATEWAY ? "502" : answer.status() + " " + answer.body();
+        } finally {
+            received.append(caller.receivedBody());
+        }
+    }
+
     /** Returns how often the last request ran. */
     long runs() {
         return deployment.countRuns(id);
