Test what callers get of an early answer to an upload, and of a head cut at each byte

Both were handled before; nothing is changed for them. An answer whose head is cut after any of its bytes, by a close or a reset, gets a 502 or a repeat for all kinds of request. A part of an early answer to an upload of 100 KB to 8 MB, reset or closed while the upload is being written, is cut visibly whatever its framing (the client library closes a connection that ends while a request is written; a reset fails the read).

What the tests leave out, as an instance cannot tell it: if all of the request is in the kernel, a server that ends its half of the connection and resets it then looks like one that has sent a whole answer without a length and needs no more of the request. A read returns the end of the stream, and only a write would show the reset.

--- a/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/raw/RawUpstream.java
@@ -57,6 +57,15 @@
         return server.getLocalPort();
     }
 
+    /** Limits what the kernel takes of each later connection before it is read. */
+    public void limitReceiveBuffer(int bytes) {
+        try {
+            server.setReceiveBufferSize(bytes);
+        } catch (SocketException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Returns the number of connections accepted. */
     public int connectionCount() {
         return connectionCount.get();
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/OperatorConfigBuilder.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/OperatorConfigBuilder.java
@@ -35,6 +35,12 @@
         return this;
     }
 
+    /** Sets how large the body of a request may be. */
+    public OperatorConfigBuilder maxBody(int bytes) {
+        root.withObject("/limits").put("max_body_bytes", bytes);
+        return this;
+    }
+
     /** Adds a service; one that warms up is limited to 14 requests a second for 3 s after a start. */
     public OperatorConfigBuilder service(String name, boolean warmsUp) {
         services.addObject()
--- a/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
+++ b/org.cuminspur.standin/src/org/cuminspur/standin/users/StandinServer.java
@@ -72,6 +72,7 @@
     private final RawUpstream server;
     private final List<Request> executedRequests = new CopyOnWriteArrayList<>();
     private volatile Behaviour behaviour;
+    private volatile boolean readsBodies = true;
 
     public StandinServer(String id, Behaviour behaviour) {
         this.id = id;
@@ -88,6 +89,11 @@
         return List.copyOf(executedRequests);
     }
 
+    /** Limits what the kernel takes of each later connection before it is read. */
+    public void limitReceiveBuffer(int bytes) {
+        server.limitReceiveBuffer(bytes);
+    }
+
     /** Returns the number of connections accepted. */
     public int connections() {
         return server.connectionCount();
@@ -95,6 +101,13 @@
 
     /** Replaces the behaviour for later requests. */
     public void setBehaviour(Behaviour next) {
+        readsBodies = true;
+        behaviour = next;
+    }
+
+    /** Replaces the behaviour for later requests by one that runs before their bodies are read. */
+    public void setEarlyBehaviour(Behaviour next) {
+        readsBodies = false;
         behaviour = next;
     }
 
@@ -192,7 +205,7 @@
     }
 
     private void serve(RawUpstream.Connection connection) throws IOException {
-        String head = connection.readRequest();
+        String head = read(connection);
         while (!head.isEmpty()) {
             Request request = new Request(head);
             String target = request.header("Target-Instance");
@@ -205,7 +218,11 @@
                     return;
                 }
             }
-            head = connection.readRequest();
+            head = read(connection);
         }
     }
+
+    private String read(RawUpstream.Connection connection) throws IOException {
+        return readsBodies ? connection.readRequest() : connection.readHead();
+    }
 }
--- a/platform.test/tst/org/cuminspur/platform/BrokenAnswers.java
+++ b/platform.test/tst/org/cuminspur/platform/BrokenAnswers.java
@@ -42,6 +42,19 @@
         connectionEnds.clear();
     }
 
+    /** Limits what the kernel takes of a plain request before its server reads it, also on the connections there are. */
+    void limitReceiveBuffers(int bytes) {
+        RequestKind kind = RequestKind.UNREPEATABLE;
+        servers(kind).forEach(server -> server.limitReceiveBuffer(bytes));
+        setBehaviour(kind, (connection, request) -> {
+            connection.sendBytes("HTTP/1.1 200 OK\r\n" + headers(kind, request) + "Content-Length: 0\r\n\r\n");
+            return false;
+        });
+        for (int i = 0; i < SUCCESSES_BEFORE_CASE; i++) {
+            request(kind);
+        }
+    }
+
     /** Answers the first run of the next request with raw bytes. */
     void answerFirst(RequestKind kind, StandinServer.Behaviour first) {
         AtomicInteger runs = new AtomicInteger();
@@ -54,8 +67,18 @@
 
     /** Answers all runs of the next request in one way. */
     void setBehaviour(RequestKind kind, StandinServer.Behaviour behaviour) {
-        List.of(deployment.modelA, deployment.modelB, deployment.appA, deployment.appB)
-                .forEach(server -> server.setBehaviour(behaviour));
+        servers(kind).forEach(server -> server.setBehaviour(behaviour));
+    }
+
+    /** Answers all runs of the next request before its body is read. */
+    void setEarlyBehaviour(RequestKind kind, StandinServer.Behaviour behaviour) {
+        servers(kind).forEach(server -> server.setEarlyBehaviour(behaviour));
+    }
+
+    private List<StandinServer> servers(RequestKind kind) {
+        return kind.isStream()
+                ? List.of(deployment.modelA, deployment.modelB)
+                : List.of(deployment.appA, deployment.appB);
     }
 
     /** Returns the status and body that a caller gets, or {@link #CUT} for an answer that is visibly incomplete. */
