Soak: upstreams send responses that are not valid

While it spoils its answers, an upstream of the soak cut them only. One answer in two is now one of the rows of BrokenHead and BrokenBody, by the id of its request; in a stream, bodies break after a whole event, and broken heads follow where it is resumed. A new check, valid-statuses, rejects a whole answer whose status neither upstreams nor instances give; own-whole-answers already covered successes.

--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/Checks.java
@@ -53,6 +53,8 @@
     static final long LEAST_OFFER_MS = 30;
 
     private static final int OK = 200;
+    private static final int MIN_FAILURE = 400;
+    private static final int MAX_FAILURE = 599;
     private static final int SERVER_ERROR = 500;
     private static final int REDIRECTION = 300;
     private static final long SECOND_MS = 1_000;
@@ -62,6 +64,7 @@
             Map.entry("at-most-once", Checks::atMostOnce),
             Map.entry("true-refusals", Checks::trueRefusals),
             Map.entry("own-whole-answers", Checks::ownWholeAnswers),
+            Map.entry("valid-statuses", Checks::validStatuses),
             Map.entry("only-what-was-asked", Checks::onlyWhatWasAsked),
             Map.entry("ready-answers-delivered", Checks::readyAnswersDelivered),
             Map.entry("no-send-for-show", Checks::noSendForShow),
@@ -124,6 +127,14 @@
                 .map(run -> "no caller asked for " + run);
     }
 
+    /** No answer has a status that neither an upstream nor an instance gives, as broken ones have. */
+    private static Stream<String> validStatuses(History history) {
+        return history.calls().stream()
+                .filter(call -> call.end() == End.WHOLE && call.status() != OK)
+                .filter(call -> call.status() < MIN_FAILURE || call.status() > MAX_FAILURE)
+                .map(call -> "an answer that nobody gave: " + call);
+    }
+
     /** An upstream that was sound had an answer, and the caller got a failure that is not the upstream's. */
     private static Stream<String> readyAnswersDelivered(History history) {
         Map<String, List<Run>> runs = history.runsById();
--- a/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
+++ b/org.cuminspur.soak/src/org/cuminspur/soak/internal/SoakUpstream.java
@@ -30,7 +30,7 @@
         ERRORS,
         /** Runs a request and closes the connection without an answer. */
         LOSES_ANSWERS,
-        /** Breaks off in the middle of an answer. */
+        /** Breaks off in the middle of an answer, or sends one that is no valid response. */
         GARBLES,
         /** Answers twice. */
         EXTRA_ANSWERS,
@@ -53,7 +53,7 @@
     private static final long SLOW_MS = 700;
 
     /** One request in this many is met in another mode than the usual one, so that few callers see only failures. */
-    private static final int SPOILED_EVERY = 2;
+    static final int SPOILED_EVERY = 2;
 
     private final String id;
     private final String domain;
@@ -165,9 +165,22 @@
         } else if (now == Mode.ERRORS) {
             return StandinServer.failureAnswer(500).answer(connection, request);
         }
+        Optional<SpoiledAnswer> spoiled = now == Mode.GARBLES ? SpoiledAnswer.choose(request.id()) : Optional.empty();
+        if (spoiled.isPresent()) {
+            spoil(connection, request, kind, spoiled.get());
+            return false;
+        }
         return kind.stream() ? stream(connection, request, now) : plain(connection, request, now);
     }
 
+    private void spoil(Connection connection, StandinServer.Request request, Kind kind, SpoiledAnswer answer)
+            throws IOException {
+        String type = kind.stream() ? "Content-Type: text/event-stream\r\n" : "";
+        String headers =
+                "Attempt-Id: " + request.id() + "\r\nResponse-Signature: signed\r\n" + statements(request) + type;
+        answer.send(connection, headers, kind.stream() ? event(request.id(), request.lastEventId() + 1) : "");
+    }
+
     private void withdraw(Withdraws how, StandinServer.Request request, long untilMillis) {
         history.add(new Withdrawal(how, id, request.id(), history.now(), untilMillis));
     }
--- a/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
+++ b/org.cuminspur.soak/tst/org/cuminspur/soak/internal/ChecksTest.java
@@ -73,6 +73,9 @@
                 seen.add(new Run(
                         "1", Kind.DRAFT, "upstream", "north", Operator.ACCOUNT, 110, 1_000, true, "v1", "1", 0));
             }),
+            row("valid-statuses", seen -> {
+                seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-1", 100, 200, End.WHOLE, 600, false));
+            }),
             row("own-whole-answers", seen -> {
                 seen.add(new Call("1", Kind.LOOK, INSTANCE, 1, "key-1", 100, 200, End.WHOLE, 200, false));
                 seen.add(run("1", Kind.LOOK, 110));
