--- a/platform.test/tst/org/cuminspur/platform/PeerRequestTest.java
+++ b/platform.test/tst/org/cuminspur/platform/PeerRequestTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.IntStream;
+import org.cuminspur.standin.raw.BrokenHead;
 import org.cuminspur.standin.users.CutLink;
 import org.cuminspur.standin.users.OperatorConfigBuilder;
 import org.cuminspur.standin.users.StandinCaller;
@@ -31,6 +32,7 @@
     private static final int OK = 200;
     private static final int FORBIDDEN = 403;
     private static final int UNAVAILABLE = 503;
+    private static final int BAD_GATEWAY = 502;
     private static final int REQUESTS = 24;
     private static final long WORK_MS = 600;
     private static final int TIMEOUT_MS = 5_000;
@@ -126,6 +128,23 @@
         assertEquals(runs("second-hop"), 0);
     }
 
+    /** Guards against a broken answer that gets through because another instance passes it on. */
+    @Test
+    public void brokenAnswerIsNotPassedOnThroughAnotherInstance() {
+        cutOff(0);
+        for (BrokenHead head : BrokenHead.values()) {
+            servers.forEach(server -> server.setBehaviour(StandinServer.plainAnswer("done")));
+            IntStream.range(0, SERVERS * 4)
+                    .forEach(i -> assertEquals(status(routers.port(0), "/book/sound", "sound-" + head, ""), OK));
+            servers.forEach(server -> server.setBehaviour((connection, request) -> {
+                connection.sendBytes(head.text("Attempt-Id: " + request.id() + "\r\nResponse-Signature: signed\r\n"));
+                return false;
+            }));
+            assertEquals(status(routers.port(0), "/book/" + head, "broken-" + head, ""), BAD_GATEWAY, head.name());
+            assertEquals(runs("broken-" + head), 1, head.name());
+        }
+    }
+
     /** Guards against a repeat of a request whose relay was killed while an upstream ran it. */
     @Test
     public void requestRunsAtMostOnceIfItsRelayIsKilled() throws InterruptedException {
