Log and count responses that are not valid apart from broken connections

On the users' platform the line attempt-failed named upstream, request and cause of a broken response already, but counted and labelled it like a cut connection. It is "invalid" now, so that attempts.failed.invalid shows an upstream that sends rubbish, and peer-attempts.failed. invalid an instance. The HTTP client, which tells its users "broken" only, logs event=invalid-response with method, address, path and what was wrong, so the router's own interface, the probes and the store's calls name it too.

BrokenHeadTest asserts the label and that a line holds printable ASCII only; the client's line was read in a run of BrokenResponseTest and has no test.

--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/BodyQueue.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/BodyQueue.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import org.cuminspur.http.client.CallFault;
 import org.cuminspur.http.client.ClientConnections;
 import org.xnio.channels.StreamSourceChannel;
@@ -26,6 +27,7 @@
 
     private final ClientConnection connection;
     private final Runnable completed;
+    private final Consumer<IOException> failed;
     private final BlockingQueue<byte[]> pieces = new LinkedBlockingQueue<>();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final AtomicBoolean paused = new AtomicBoolean();
@@ -36,10 +38,12 @@
      * Makes a queue.
      *
      * @param completed runs on the I/O thread once the whole body was received
+     * @param failed receives on the I/O thread why the body cannot be read, and calls {@link #fail}
      */
-    BodyQueue(ClientConnection connection, Runnable completed) {
+    BodyQueue(ClientConnection connection, Runnable completed, Consumer<IOException> failed) {
         this.connection = connection;
         this.completed = completed;
+        this.failed = failed;
     }
 
     /**
@@ -113,7 +117,7 @@
                 enqueue(buffer, count);
             }
         } catch (IOException e) {
-            fail();
+            failed.accept(e);
         }
     }
 
--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ClientExchangeStream.java
@@ -24,6 +24,9 @@
 import org.cuminspur.http.client.HttpCall;
 import org.cuminspur.http.client.HttpHeader;
 import org.cuminspur.http.client.HttpResponseStream;
+import org.cuminspur.http.client.InvalidResponseException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -35,6 +38,8 @@
 public final class ClientExchangeStream implements HttpResponseStream {
     private static final Set<Integer> WITHOUT_BODY = Set.of(StatusCodes.NO_CONTENT, StatusCodes.NOT_MODIFIED);
 
+    private static final Logger log = LoggerFactory.getLogger(ClientExchangeStream.class);
+
     private final ClientConnection connection;
     private final Runnable returnToPool;
     private final BodyQueue body;
@@ -43,16 +48,19 @@
     /** Written before the response is completed. */
     private BodyFraming framing = BodyFraming.NONE;
 
-    /** The three fields below are used on the I/O thread only. */
+    /** The four fields below are used on the I/O thread only. */
     private HttpString method;
 
+    /** Method, address and path without its query, for the log. */
+    private String call = "";
+
     private boolean requestWritten;
     private boolean released;
 
     public ClientExchangeStream(ClientConnection connection, Runnable returnToPool) {
         this.connection = connection;
         this.returnToPool = returnToPool;
-        this.body = new BodyQueue(connection, this::bodyCompleted);
+        this.body = new BodyQueue(connection, this::bodyCompleted, this::fail);
     }
 
     /** Sends the request and waits for the head of the response. */
@@ -139,6 +147,8 @@
 
     private void send(HttpCall call) {
         method = HttpString.tryFromString(call.method());
+        this.call = call.method() + " " + call.host() + ":" + call.port()
+                + call.path().split("\\?", 2)[0];
         ClientRequest request = new ClientRequest().setMethod(method).setPath(call.path());
         request.getRequestHeaders().put(Headers.HOST, call.host() + ":" + call.port());
         call.headers()
@@ -192,6 +202,9 @@
     }
 
     private void fail(IOException cause) {
+        if (cause instanceof InvalidResponseException) {
+            log.warn("event=invalid-response call=\"{}\" cause=\"{}\"", call, cause.getMessage());
+        }
         response.completeExceptionally(cause);
         body.fail();
         closeUnlessReleased();
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/PeerAttempt.java
@@ -186,12 +186,13 @@
 
     @Override
     public void connectionBroken(UpstreamExchange<PeerInstance> from) {
+        String how = from.invalid() ? "invalid" : "broken";
         if (responded) {
             end();
-            log("broken", 0);
+            log(how, 0);
             listener.peerBroken();
         } else {
-            fail("broken", new AttemptEvent.PeerBroken(runs));
+            fail(how, new AttemptEvent.PeerBroken(runs));
         }
     }
 
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamExchange.java
@@ -11,6 +11,7 @@
 import org.cuminspur.http.client.BodyEnd;
 import org.cuminspur.http.client.BodyFraming;
 import org.cuminspur.http.client.ClientConnections;
+import org.cuminspur.http.client.InvalidResponseException;
 import org.cuminspur.traffic.Destination;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
@@ -76,7 +77,7 @@
     private boolean discarding;
     private int discardedBytes;
     private boolean paused;
-    private String cause = "";
+    private Throwable cause;
     private boolean refused;
     private BodyFraming framing = BodyFraming.NONE;
     private BodyEnd end = BodyEnd.NONE;
@@ -130,7 +131,12 @@
 
     /** Returns why the connection broke, for the log; empty if it did not. */
     String cause() {
-        return cause;
+        return cause == null ? "" : cause.toString();
+    }
+
+    /** Returns whether the connection was ended because what came on it is no valid response. */
+    boolean invalid() {
+        return cause instanceof InvalidResponseException;
     }
 
     /** Returns whether the upstream refused a connection, which it does only while no process listens there. */
@@ -220,9 +226,7 @@
     private void notConnected(IOException error) {
         if (!finished) {
             finished = true;
-            cause = error.getCause() == null
-                    ? error.toString()
-                    : error.getCause().toString();
+            cause = error.getCause() == null ? error : error.getCause();
             refused = UpstreamConnectionPool.isRefused(error);
             listener.notConnected(this);
         }
@@ -366,7 +370,7 @@
     private void fail(IOException error) {
         if (!finished) {
             finished = true;
-            cause = error.toString();
+            cause = error;
             end = source == null ? BodyEnd.NONE : BodyEnd.BROKEN;
             reset();
             if (!discarding) {
--- a/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
+++ b/org.cuminspur.router/src/org/cuminspur/router/internal/traffic/UpstreamForwarding.java
@@ -267,7 +267,7 @@
 
     @Override
     public void connectionBroken(UpstreamExchange<UpstreamState> from) {
-        responseBroken(from, "broken");
+        responseBroken(from, from.invalid() ? "invalid" : "broken");
     }
 
     private void responseBroken(UpstreamExchange<UpstreamState> from, String how) {
--- a/platform.test/tst/org/cuminspur/platform/BrokenHeadTest.java
+++ b/platform.test/tst/org/cuminspur/platform/BrokenHeadTest.java
@@ -199,6 +199,7 @@
     private void assertReasonIsLogged() {
         List<String> failed = answers.logged("attempt-failed");
         assertEquals(failed.size(), 1, failed.toString());
+        assertTrue(failed.get(0).contains("how, invalid, "), failed.get(0));
         assertTrue(failed.get(0).contains("InvalidResponseException: "), failed.get(0));
         assertTrue(failed.get(0).chars().allMatch(next -> next >= ' ' && next < 0x7f), failed.get(0));
     }
