--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
@@ -37,7 +37,7 @@
     /** What made the response invalid, null if nothing did. */
     private InvalidResponseException fault;
 
-    ResponseConduit(StreamSourceConduit next) {
+    public ResponseConduit(StreamSourceConduit next) {
         super(next);
     }
 
