Fail a request on a connection that still holds bytes of the response before

Found by reading the change: bytes behind a response that the client library had not read when the next request was sent on its connection would have been passed to it without a check, as the response to that request. The library closes such connections as soon as it reads the bytes, and no test here has met the case, so this is a second line only.

--- a/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
+++ b/org.cuminspur.http/src/org/cuminspur/http/internal/client/ResponseConduit.java
@@ -47,6 +47,9 @@
      * @param headRequest whether the request asks for a head only
      */
     public void expectResponse(boolean headRequest) {
+        if (checked.hasRemaining()) {
+            fault = new InvalidResponseException("bytes behind the response before");
+        }
         head = new ResponseHeadParser(headRequest);
         body = null;
     }
