--- a/review/tst-2/RestartableServer.java
+++ b/review/tst-2/RestartableServer.java
@@ -18,18 +18,27 @@
  */
 final class RestartableServer {
     private static final int EVENTS = 40;
-    private static final long EVENT_INTERVAL_MS = 50;
+    private static final long INTERVAL_MS = 50;
     private static final Pattern LENGTH = Pattern.compile("(?i)\r\ncontent-length: *(\\d+)");
 
     private final Deployment deployment;
     private final String id;
+    private final int events;
+    private final long intervalMillis;
     private final int port = FreePorts.next();
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private ServerSocket listener;
 
     RestartableServer(Deployment deployment, String id) {
+        this(deployment, id, EVENTS, INTERVAL_MS);
+    }
+
+    /** Creates a server whose streams have a number of events, one each interval. */
+    RestartableServer(Deployment deployment, String id, int events, long intervalMillis) {
         this.deployment = deployment;
         this.id = id;
+        this.events = events;
+        this.intervalMillis = intervalMillis;
     }
 
     int port() {
@@ -94,10 +103,10 @@
                 socket,
                 "HTTP/1.1 200 OK\r\n" + ids
                         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int event = first; event <= EVENTS; event++) {
+        for (int event = first; event <= events; event++) {
             String text = "id: " + event + "\ndata: " + version + "\n\n";
             send(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-            Deployment.sleep(EVENT_INTERVAL_MS);
+            Deployment.sleep(intervalMillis);
         }
         send(socket, "0\r\n\r\n");
     }
