--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mvn -o -q -B -DskipTests -Dspotless.check.skip -Dcheckstyle.skip -pl org.cuminspur.standin -am package
 mkdir -p target/review-2
-javac -d target/review-2 -cp "org.cuminspur.standin/target/classes:org.cuminspur.standin/target/lib/*" review/tst-2/*.java
+javac -d target/review-2 -cp "org.cuminspur.standin/target/classes:org.cuminspur.standin/target/lib/*" review/second/tst/*.java
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -5,5 +5,5 @@
   echo "run deploy/build.sh and review/build-2.sh first" | tee "review/$1/record.txt" >&2
   exit 2
 }
-exec java -Xmx400m -XX:+UseSerialGC -Dlogback.configurationFile=review/tst-2/logback.xml \
+exec java -Xmx400m -XX:+UseSerialGC -Dlogback.configurationFile=review/second/tst/logback.xml \
   -cp "target/review-2:org.cuminspur.standin/target/classes:org.cuminspur.standin/target/lib/*" "$2" "review/$1"
