--- a/review/second/tst/ClockSetBack.java
+++ b/review/second/tst/ClockSetBack.java
@@ -9,7 +9,7 @@
  */
 final class ClockSetBack {
     private static final int ROUTERS = 2;
-    private static final int STREAMS = 270;
+    private static final int STREAMS = 120;
 
     /** How far the clock is set back, and the time from the server's first start to its end. */
     private static final long CLOCK_STEP_MS = 2_400;
--- a/review/second/tst/ConfigBacklog.java
+++ b/review/second/tst/ConfigBacklog.java
@@ -5,13 +5,13 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.stream.Collectors;
+import org.cuminspur.standin.users.CutLink;
 import org.cuminspur.standin.users.OperatorConfigBuilder;
 import org.cuminspur.standin.users.StandinCaller;
 import org.cuminspur.standin.users.StandinServer;
-import org.cuminspur.standin.users.StandinStoreFaults;
 
 /**
- * Three series of 25 configurations are acknowledged while the store turns a machine away. The last one moves a route to
+ * Three series of 25 configurations are acknowledged while the store turns one machine of three away. The last one moves a route to
  * another service. Once the store has served the machine again for contact_ms, requests to that route must run at the new one.
  */
 final class ConfigBacklog {
@@ -20,6 +20,7 @@
 
     private static final int ADDED_ROUTES = 1_640;
 
+    private static final int ROUTERS = 3;
     private static final int SERIES = 3;
     private static final int VERSIONS = 25;
     private static final long VERSION_INTERVAL_MS = 60;
@@ -73,7 +74,11 @@
                 "servers/app-b", OperatorConfigBuilder.serverEntry("app-next", after.port(), "a", "ready", 0));
         publish("app");
         Deployment.start(this::compactHistory);
-        Deployment.Router router = deployment.startRouter("router-0", "a", CONFIG_MS);
+        CutLink way = new CutLink(deployment.store.port());
+        Deployment.Router router = deployment.startRouter("router-0", "a", CONFIG_MS, way.port());
+        for (int i = 1; i < ROUTERS; i++) {
+            deployment.startRouter("router-" + i, "a", CONFIG_MS);
+        }
         Deployment.sleep(4_000);
 
         List<Sent> sent = new ArrayList<>();
@@ -81,12 +86,12 @@
         Deployment.sleep(1_000);
         long awayMillis = deployment.millis();
         if (Deployment.trouble()) {
-            deployment.store.faults().mode(StandinStoreFaults.Mode.REFUSING);
-            deployment.log("the store turns the machine away with 503");
+            way.mode(CutLink.Mode.RESET);
+            deployment.log("the store resets the channels of router-0 and answers it nothing");
         }
         long movedMillis = publishSeries();
         Deployment.sleep(awayMillis + AWAY_MS - deployment.millis());
-        deployment.store.faults().mode(StandinStoreFaults.Mode.UP);
+        way.mode(CutLink.Mode.WHOLE);
         long returnMillis = deployment.millis();
         deployment.log("the store serves the machine");
         Deployment.sleep(AFTER_RETURN_MS);
--- a/review/second/tst/Deployment.java
+++ b/review/second/tst/Deployment.java
@@ -99,13 +99,22 @@
      * @param changeMillis bound on the time until a change takes effect
      */
     Router startRouter(String name, String domain, long changeMillis) throws IOException {
+        return startRouter(name, domain, changeMillis, store.port());
+    }
+
+    /**
+     * Starts a router that reaches the store at a port of its own and waits until it is ready.
+     *
+     * @param changeMillis bound on the time until a change takes effect
+     */
+    Router startRouter(String name, String domain, long changeMillis, int storePort) throws IOException {
         int port = FreePorts.next();
         int readinessPort = FreePorts.next();
         Path settings = temporary.resolve(name + ".ini");
         Files.writeString(
                 settings,
                 InstanceSettings.text(
-                                name, domain, port, readinessPort, FreePorts.next(), FreePorts.next(), store.port())
+                                name, domain, port, readinessPort, FreePorts.next(), FreePorts.next(), storePort)
                         + "leave = " + changeMillis + "ms\npublish = " + changeMillis + "ms\n");
         Path log = temporary.resolve(name + ".log");
         ProcessBuilder builder = new ProcessBuilder(command())
--- a/review/second/tst/StreamTraffic.java
+++ b/review/second/tst/StreamTraffic.java
@@ -17,9 +17,13 @@
  * <p>A caller whose channel breaks takes its stream up once, on a new channel at the next router.
  */
 final class StreamTraffic {
-    /** Rate, events and client tries of `buyer-question`; 250 ms are allowed between two events. */
-    private static final double STREAMS_PER_S = 27;
+    /** Below the 27.2 a second of `buyer-question`, so that one server has slots for all streams at once. */
+    private static final double STREAMS_PER_S = 12;
 
+    /** Slots of a server of `wolmodel`. */
+    private static final int SLOTS = 64;
+
+    /** Events of `buyer-question`; 250 ms are allowed between two. */
     private static final int EVENTS = 49;
     private static final long EVENT_INTERVAL_MS = 100;
     private static final long STREAM_TIMEOUT_MS = 12_000;
@@ -58,7 +62,8 @@
     static void register(
             Deployment deployment, RestartableServer server, String id, String version, long bornMillis) {
         String entry = OperatorConfigBuilder.serverEntry("model", version, server.port(), "a", "ready", 0)
-                .replace("\"born\":1}", "\"born\":" + bornMillis + "}");
+                .replace("\"born\":1}", "\"born\":" + bornMillis + "}")
+                .replace("\"slots\":8,", "\"slots\":" + SLOTS + ",");
         deployment.store.put("servers/" + id, entry);
         deployment.log("servers/" + id + " = " + entry);
     }
